--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/hash/package-info.java
@@ -0,0 +1,2 @@
+/** Deterministic choice of owners for a key. */
+package org.guavathread.core.hash;
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/request/RefusalCode.java
@@ -0,0 +1,58 @@
+package org.guavathread.core.request;
+
+/** Why a request was refused, with the HTTP status that the caller sees. */
+public enum RefusalCode {
+    /** The request cannot be parsed or a field has a wrong value. */
+    BAD_REQUEST(400),
+    /** A non-repeatable route that demands an idempotency key was called without one. */
+    IDEMPOTENCY_KEY_MISSING(400),
+    /** No key was presented on a route that needs one. */
+    KEY_MISSING(401),
+    /** The presented key belongs to no workspace, or it was withdrawn. */
+    KEY_UNKNOWN(401),
+    /** No route of the sheet has this path. */
+    NO_ROUTE(404),
+    /** The route serves no model of this name. */
+    NO_MODEL(404),
+    /** The body or the headers exceed their limit. */
+    TOO_LARGE(413),
+    /** Another attempt of the same request is still running. */
+    CLAIM_HELD(409),
+    /** The idempotency key was issued longer ago than claims are kept. */
+    KEY_EXPIRED(409),
+    /** The workspace used up its rate and burst. */
+    RATE_LIMITED(429),
+    /** A bounded queue of this host is full. */
+    OVERLOADED(503),
+    /** No engine has room before the deadline of the request. */
+    NO_ROOM(503),
+    /** This host is shutting down. */
+    DRAINING(503),
+    /** Too few claim voters answered. */
+    CLAIMS_UNAVAILABLE(503),
+    /** This request is suspected to crash backend servers. */
+    CRASH_SUSPECT(503),
+    /** This host hears neither the configuration service nor any peer. */
+    ISOLATED(503),
+    /** The backend server failed. */
+    BACKEND_FAILED(502),
+    /** It cannot be known whether the request ran. */
+    OUTCOME_UNKNOWN(504),
+    /** The deadline of the request passed. */
+    DEADLINE(504);
+
+    private final int httpStatus;
+
+    RefusalCode(int httpStatus) {
+        this.httpStatus = httpStatus;
+    }
+
+    /**
+     * Gives the HTTP status of an answer with this code.
+     *
+     * @return for example 429
+     */
+    public int httpStatus() {
+        return httpStatus;
+    }
+}
