--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/sheet/KeyHash.java
@@ -0,0 +1,65 @@
+package org.guavathread.core.sheet;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** SHA-256 of a workspace key. The key itself is never kept. */
+public final class KeyHash {
+
+    private static final String PREFIX = "sha256:";
+    private static final int DIGITS = 64;
+
+    private final byte[] digest;
+
+    private KeyHash(byte[] digest) {
+        this.digest = digest;
+    }
+
+    /**
+     * Hashes a key that a caller presented.
+     *
+     * @param key the key
+     * @return its hash
+     */
+    public static KeyHash ofKey(String key) {
+        try {
+            MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
+            return new KeyHash(sha256.digest(key.getBytes(StandardCharsets.UTF_8)));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("This Java runtime has no SHA-256; every Java platform must have it.", e);
+        }
+    }
+
+    /**
+     * Parses the form that the sheet uses.
+     *
+     * @param text {@code sha256:} and 64 hex digits
+     * @return the hash
+     * @throws IllegalArgumentException if the text has another form
+     */
+    public static KeyHash parse(String text) {
+        if (text == null || !text.matches(PREFIX + "[0-9a-fA-F]{" + DIGITS + "}")) {
+            throw new IllegalArgumentException("\"" + text + "\" is not a key hash; write " + PREFIX + " and " + DIGITS
+                    + " hex digits, as `guavathread sheet hash-key` prints them.");
+        }
+        return new KeyHash(HexFormat.of().parseHex(text.substring(PREFIX.length())));
+    }
+
+    /** Compares in constant time, so that the time taken does not tell how many bytes match. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof KeyHash that && MessageDigest.isEqual(digest, that.digest);
+    }
+
+    @Override
+    public int hashCode() {
+        return (digest[0] & 0xff) << 24 | (digest[1] & 0xff) << 16 | (digest[2] & 0xff) << 8 | digest[3] & 0xff;
+    }
+
+    @Override
+    public String toString() {
+        return PREFIX + HexFormat.of().formatHex(digest);
+    }
+}
--- /dev/null
+++ b/guavathread-wire/src/main/java/org/guavathread/wire/CodecException.java
@@ -0,0 +1,26 @@
+package org.guavathread.wire;
+
+/** A frame that cannot be encoded or decoded. The connection it came from is to be closed. */
+public class CodecException extends RuntimeException {
+
+    private static final long serialVersionUID = 1L;
+
+    /**
+     * Builds the exception.
+     *
+     * @param message names the offending value and what was expected
+     */
+    public CodecException(String message) {
+        super(message);
+    }
+
+    /**
+     * Builds the exception.
+     *
+     * @param message names the offending value and what was expected
+     * @param cause what the codec library reported
+     */
+    public CodecException(String message, Throwable cause) {
+        super(message, cause);
+    }
+}
--- /dev/null
+++ b/guavathread-wire/src/main/java/org/guavathread/wire/FrameCodec.java
@@ -0,0 +1,82 @@
+package org.guavathread.wire;
+
+import java.io.IOException;
+
+import org.guavathread.core.message.PeerMessage;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Turns frames into bytes and back. The bytes exclude the length prefix. Thread-safe.
+ *
+ * <pre>{@code
+ * byte[] bytes = codec.encode(new Frame(7, false, new Heartbeat(...)));
+ * Frame frame = codec.decode(bytes);
+ * }</pre>
+ */
+public final class FrameCodec {
+
+    /** Largest frame without its length prefix, in bytes; a longer one is a fault of the sender. */
+    public static final int MAX_FRAME_BYTES = 256 * 1024;
+
+    private final MessageRegistry registry;
+
+    /**
+     * Builds a codec.
+     *
+     * @param registry the known message types
+     */
+    public FrameCodec(MessageRegistry registry) {
+        this.registry = registry;
+    }
+
+    /**
+     * Encodes a frame.
+     *
+     * @param frame the frame
+     * @return its bytes
+     * @throws CodecException if the type is not registered or the frame exceeds {@link #MAX_FRAME_BYTES}
+     */
+    public byte[] encode(Frame frame) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            Class<? extends PeerMessage> type = frame.message().getClass();
+            packer.packArrayHeader(4);
+            packer.packInt(registry.numberOf(type));
+            packer.packLong(frame.correlation());
+            packer.packBoolean(frame.reply());
+            RecordCodec.write(packer, frame.message(), type);
+            byte[] bytes = packer.toByteArray();
+            if (bytes.length > MAX_FRAME_BYTES) {
+                throw new CodecException("A frame with " + type.getSimpleName() + " has " + bytes.length
+                        + " bytes; at most " + MAX_FRAME_BYTES + " are allowed.");
+            }
+            return bytes;
+        } catch (IOException e) {
+            throw new CodecException("The frame could not be encoded.", e);
+        }
+    }
+
+    /**
+     * Decodes a frame.
+     *
+     * @param bytes the bytes without the length prefix
+     * @return the frame
+     * @throws CodecException if the bytes are no frame, or hold a value that its type rejects
+     */
+    public Frame decode(byte[] bytes) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            int fields = unpacker.unpackArrayHeader();
+            if (fields != 4) {
+                throw new CodecException("A frame came with " + fields + " fields, not 4.");
+            }
+            Class<? extends PeerMessage> type = registry.typeOf(unpacker.unpackInt());
+            long correlation = unpacker.unpackLong();
+            boolean reply = unpacker.unpackBoolean();
+            return new Frame(correlation, reply, (PeerMessage) RecordCodec.read(unpacker, type));
+        } catch (IOException | MessagePackException | IndexOutOfBoundsException | NegativeArraySizeException e) {
+            throw new CodecException("A frame of " + bytes.length + " bytes is malformed: " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/guavathread-wire/src/main/java/org/guavathread/wire/RecordCodec.java
@@ -0,0 +1,217 @@
+package org.guavathread.wire;
+
+import java.io.IOException;
+import java.lang.invoke.MethodHandle;
+import java.lang.invoke.MethodHandles;
+import java.lang.invoke.MethodType;
+import java.lang.reflect.ParameterizedType;
+import java.lang.reflect.RecordComponent;
+import java.lang.reflect.Type;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Derives the MessagePack form of a record from its components: a record is an array of its components, a record with a
+ * single component is written as that component, an enum is its name, an empty optional is nil.
+ */
+final class RecordCodec {
+
+    /** Bounds what a malformed length can make the decoder allocate. */
+    private static final int MAX_LIST_SIZE = 100_000;
+
+    private static final Map<Class<?>, Shape> SHAPES = new ConcurrentHashMap<>();
+
+    private RecordCodec() {}
+
+    private record Shape(List<MethodHandle> getters, List<Type> types, MethodHandle constructor) {}
+
+    static void write(MessagePacker packer, Object value, Type type) throws IOException {
+        Class<?> raw = rawClass(type);
+        if (raw == Optional.class) {
+            writeOptional(packer, (Optional<?>) value, argument(type));
+        } else if (raw == List.class) {
+            writeList(packer, (List<?>) value, argument(type));
+        } else if (raw.isRecord()) {
+            writeRecord(packer, value, raw);
+        } else {
+            writeScalar(packer, value, raw);
+        }
+    }
+
+    static Object read(MessageUnpacker unpacker, Type type) throws IOException {
+        Class<?> raw = rawClass(type);
+        if (raw == Optional.class) {
+            return unpacker.tryUnpackNil() ? Optional.empty() : Optional.of(read(unpacker, argument(type)));
+        }
+        if (raw == List.class) {
+            return readList(unpacker, argument(type));
+        }
+        return raw.isRecord() ? readRecord(unpacker, raw) : readScalar(unpacker, raw);
+    }
+
+    private static void writeOptional(MessagePacker packer, Optional<?> value, Type inner) throws IOException {
+        if (value.isEmpty()) {
+            packer.packNil();
+        } else {
+            write(packer, value.get(), inner);
+        }
+    }
+
+    private static void writeList(MessagePacker packer, List<?> values, Type inner) throws IOException {
+        packer.packArrayHeader(values.size());
+        for (Object value : values) {
+            write(packer, value, inner);
+        }
+    }
+
+    private static void writeRecord(MessagePacker packer, Object value, Class<?> raw) throws IOException {
+        Shape shape = shapeOf(raw);
+        int size = shape.types().size();
+        if (size != 1) {
+            packer.packArrayHeader(size);
+        }
+        for (int i = 0; i < size; i++) {
+            write(packer, get(shape.getters().get(i), value), shape.types().get(i));
+        }
+    }
+
+    private static void writeScalar(MessagePacker packer, Object value, Class<?> raw) throws IOException {
+        if (raw == long.class || raw == int.class) {
+            packer.packLong(((Number) value).longValue());
+        } else if (raw == double.class) {
+            packer.packDouble((Double) value);
+        } else if (raw == boolean.class) {
+            packer.packBoolean((Boolean) value);
+        } else if (raw == String.class) {
+            packer.packString((String) value);
+        } else if (raw == byte[].class) {
+            byte[] bytes = (byte[]) value;
+            packer.packBinaryHeader(bytes.length).writePayload(bytes);
+        } else if (raw.isEnum()) {
+            packer.packString(((Enum<?>) value).name());
+        } else {
+            throw new CodecException(raw.getName() + " has no wire form; use a record, number, text, list or enum.");
+        }
+    }
+
+    private static List<Object> readList(MessageUnpacker unpacker, Type inner) throws IOException {
+        int size = unpacker.unpackArrayHeader();
+        if (size > MAX_LIST_SIZE) {
+            throw new CodecException("A list of " + size + " elements is longer than " + MAX_LIST_SIZE + ".");
+        }
+        List<Object> values = new ArrayList<>(Math.min(size, 1_000));
+        for (int i = 0; i < size; i++) {
+            values.add(read(unpacker, inner));
+        }
+        return List.copyOf(values);
+    }
+
+    private static Object readRecord(MessageUnpacker unpacker, Class<?> raw) throws IOException {
+        Shape shape = shapeOf(raw);
+        int size = shape.types().size();
+        if (size != 1) {
+            int found = unpacker.unpackArrayHeader();
+            if (found != size) {
+                throw new CodecException(raw.getSimpleName() + " came with " + found + " fields, not " + size + ".");
+            }
+        }
+        Object[] values = new Object[size];
+        for (int i = 0; i < size; i++) {
+            values[i] = read(unpacker, shape.types().get(i));
+        }
+        return construct(shape.constructor(), values);
+    }
+
+    private static Object readScalar(MessageUnpacker unpacker, Class<?> raw) throws IOException {
+        if (raw == long.class) {
+            return unpacker.unpackLong();
+        }
+        if (raw == int.class) {
+            return unpacker.unpackInt();
+        }
+        if (raw == double.class) {
+            return unpacker.unpackDouble();
+        }
+        if (raw == boolean.class) {
+            return unpacker.unpackBoolean();
+        }
+        if (raw == String.class) {
+            return unpacker.unpackString();
+        }
+        if (raw == byte[].class) {
+            return unpacker.readPayload(unpacker.unpackBinaryHeader());
+        }
+        if (raw.isEnum()) {
+            return enumConstant(raw, unpacker.unpackString());
+        }
+        throw new CodecException(raw.getName() + " has no wire form; use a record, number, text, list or enum.");
+    }
+
+    private static Object enumConstant(Class<?> raw, String name) {
+        for (Object constant : raw.getEnumConstants()) {
+            if (((Enum<?>) constant).name().equals(name)) {
+                return constant;
+            }
+        }
+        throw new CodecException("\"" + name + "\" is no value of " + raw.getSimpleName() + ".");
+    }
+
+    private static Shape shapeOf(Class<?> raw) {
+        return SHAPES.computeIfAbsent(raw, RecordCodec::shape);
+    }
+
+    private static Shape shape(Class<?> raw) {
+        try {
+            MethodHandles.Lookup lookup = MethodHandles.publicLookup();
+            List<MethodHandle> getters = new ArrayList<>();
+            List<Type> types = new ArrayList<>();
+            List<Class<?>> parameters = new ArrayList<>();
+            for (RecordComponent component : raw.getRecordComponents()) {
+                getters.add(lookup.unreflect(component.getAccessor())
+                        .asType(MethodType.methodType(Object.class, Object.class)));
+                types.add(component.getGenericType());
+                parameters.add(component.getType());
+            }
+            MethodHandle constructor = lookup.findConstructor(raw, MethodType.methodType(void.class, parameters))
+                    .asSpreader(Object[].class, parameters.size());
+            return new Shape(
+                    List.copyOf(getters),
+                    List.copyOf(types),
+                    constructor.asType(MethodType.methodType(Object.class, Object[].class)));
+        } catch (ReflectiveOperationException e) {
+            throw new CodecException(raw.getName() + " cannot be encoded; make the record and its type public.", e);
+        }
+    }
+
+    private static Object get(MethodHandle getter, Object value) {
+        try {
+            return getter.invokeExact(value);
+        } catch (Throwable e) {
+            throw new CodecException("A component of " + value.getClass().getSimpleName() + " cannot be read.", e);
+        }
+    }
+
+    private static Object construct(MethodHandle constructor, Object[] values) {
+        try {
+            return constructor.invokeExact(values);
+        } catch (Throwable e) {
+            throw new CodecException("A frame holds a value that its type rejects: " + e.getMessage(), e);
+        }
+    }
+
+    private static Class<?> rawClass(Type type) {
+        return type instanceof ParameterizedType parameterized
+                ? (Class<?>) parameterized.getRawType()
+                : (Class<?>) type;
+    }
+
+    private static Type argument(Type type) {
+        return ((ParameterizedType) type).getActualTypeArguments()[0];
+    }
+}
