--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/membership/EpochView.java
@@ -0,0 +1,58 @@
+package org.guavathread.core.membership;
+
+import java.util.List;
+
+/**
+ * What a host knows about its rights at one moment. Decisions get a view with each call and never keep one.
+ *
+ * @param current the newest epoch that the host knows
+ * @param leaseDeadlineMillis until when the host holds the lease of the current epoch, in milliseconds since the epoch
+ *     of the clock; a time in the past if it does not hold it
+ * @param adoptedAtMillis when the host learnt of the current epoch
+ * @param settledAtMillis when the current epoch was settled; {@link #NOT_SETTLED} before that
+ * @param earlier the superseded epochs that the host remembers, newest first
+ */
+public record EpochView(
+        EpochMembers current,
+        long leaseDeadlineMillis,
+        long adoptedAtMillis,
+        long settledAtMillis,
+        List<Superseded> earlier) {
+
+    /** Value of {@code settledAtMillis} for an epoch that is not settled yet. */
+    public static final long NOT_SETTLED = Long.MAX_VALUE;
+
+    /** Copies the list. */
+    public EpochView {
+        earlier = List.copyOf(earlier);
+    }
+
+    /**
+     * An epoch that a newer one replaced.
+     *
+     * @param members its hosts
+     * @param supersededAtMillis when this host learnt of the newer epoch
+     * @param successorSettledAtMillis when the newer epoch was settled; {@link #NOT_SETTLED} before that
+     */
+    public record Superseded(EpochMembers members, long supersededAtMillis, long successorSettledAtMillis) {}
+
+    /**
+     * Tells whether the host may use the rights of the current epoch that it also had before.
+     *
+     * @param nowMillis the current time
+     * @return true while the lease runs
+     */
+    public boolean holdsLease(long nowMillis) {
+        return nowMillis < leaseDeadlineMillis;
+    }
+
+    /**
+     * Tells whether the host may use rights that the current epoch gave it and the previous one did not.
+     *
+     * @param nowMillis the current time
+     * @return true once the current epoch is settled
+     */
+    public boolean isSettled(long nowMillis) {
+        return settledAtMillis != NOT_SETTLED && nowMillis >= settledAtMillis;
+    }
+}
