--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/log/Logs.java
@@ -0,0 +1,23 @@
+package org.guavathread.router.log;
+
+import org.tinylog.configuration.Configuration;
+
+/** Sets up tinylog. */
+public final class Logs {
+
+    /** Tag of the audit trail. */
+    public static final String AUDIT_TAG = "audit";
+
+    private Logs() {}
+
+    /**
+     * Sends all entries from a level upwards to standard error as lines of JSON. Must run before the first log call.
+     *
+     * @param level the lowest level, for example {@code "info"}
+     */
+    public static void configure(String level) {
+        Configuration.set("writer", "json console");
+        Configuration.set("level", level);
+        Configuration.set("autoshutdown", "true");
+    }
+}
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured logs and the audit trail. */
+package org.guavathread.router.log;
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/supervisor/Duty.java
@@ -0,0 +1,164 @@
+package org.guavathread.router.supervisor;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.ObjLongConsumer;
+import java.util.function.Supplier;
+
+import org.guavathread.core.time.Clock;
+import org.jctools.queues.MpscBlockingConsumerArrayQueue;
+
+/**
+ * One thread that owns one state. Other threads hand it tasks through a bounded ring. When a task fails, the state is
+ * dropped and a new one is made, as if the process had restarted for this duty.
+ *
+ * <pre>{@code
+ * Duty<ClaimVoter> claims = new Duty<>("claims", ClaimVoter::new, supervisor, clock).every(100, ClaimVoter::expire);
+ * CompletableFuture<Integer> size = claims.ask(ClaimVoter::size);
+ * }</pre>
+ *
+ * @param <S> type of the state
+ */
+public final class Duty<S> implements Supervised {
+
+    /** Large enough for a burst of some seconds at one host's share of the peak load. */
+    public static final int INBOX_CAPACITY = 16_384;
+
+    private static final long STOP_WAIT_MILLIS = 2_000;
+
+    private final String name;
+    private final Supplier<S> factory;
+    private final Supervisor supervisor;
+    private final Clock clock;
+    private final MpscBlockingConsumerArrayQueue<Consumer<S>> inbox =
+            new MpscBlockingConsumerArrayQueue<>(INBOX_CAPACITY);
+    private long tickEveryMillis = 1_000;
+    private ObjLongConsumer<S> onTick = (state, now) -> {};
+    private volatile boolean running;
+    private Thread thread;
+
+    /**
+     * Builds a duty.
+     *
+     * @param name name in logs and metrics
+     * @param factory makes the state, at the start and after a failure
+     * @param supervisor decides about restarts
+     * @param clock source of the time
+     */
+    public Duty(String name, Supplier<S> factory, Supervisor supervisor, Clock clock) {
+        this.name = name;
+        this.factory = factory;
+        this.supervisor = supervisor;
+        this.clock = clock;
+    }
+
+    /**
+     * Sets what runs at regular times on the duty's thread.
+     *
+     * @param millis time between two runs in milliseconds
+     * @param action gets the state and the current time in milliseconds
+     * @return this duty
+     */
+    public Duty<S> every(long millis, ObjLongConsumer<S> action) {
+        tickEveryMillis = millis;
+        onTick = action;
+        return this;
+    }
+
+    /**
+     * Hands over a task.
+     *
+     * @param task gets the state on the duty's thread
+     * @return false if the inbox is full; the task will not run then
+     */
+    public boolean offer(Consumer<S> task) {
+        return inbox.offer(task);
+    }
+
+    /**
+     * Hands over a question.
+     *
+     * @param question gets the state on the duty's thread
+     * @param <R> type of the answer
+     * @return the answer, completed on the duty's thread; failed with {@link InboxFullException} if the inbox is full
+     */
+    public <R> CompletableFuture<R> ask(Function<S, R> question) {
+        CompletableFuture<R> answer = new CompletableFuture<>();
+        boolean taken = offer(state -> {
+            try {
+                answer.complete(question.apply(state));
+            } catch (RuntimeException e) {
+                answer.completeExceptionally(e);
+                throw e;
+            }
+        });
+        if (!taken) {
+            answer.completeExceptionally(new InboxFullException(name, INBOX_CAPACITY));
+        }
+        return answer;
+    }
+
+    /**
+     * Gives how many tasks wait.
+     *
+     * @return the number of tasks in the inbox
+     */
+    public int backlog() {
+        return inbox.size();
+    }
+
+    @Override
+    public String name() {
+        return name;
+    }
+
+    @Override
+    public void start() {
+        running = true;
+        thread = new Thread(this::runUntilStopped, name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @Override
+    public void stop() {
+        running = false;
+        thread.interrupt();
+        try {
+            thread.join(STOP_WAIT_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void runUntilStopped() {
+        while (running) {
+            try {
+                serve(factory.get());
+            } catch (InterruptedException e) {
+                return;
+            } catch (RuntimeException | Error e) {
+                if (!running || !supervisor.mayRestart(this, e)) {
+                    return;
+                }
+            }
+        }
+    }
+
+    private void serve(S state) throws InterruptedException {
+        long tickAtMillis = clock.nowMillis() + tickEveryMillis;
+        while (running) {
+            long now = clock.nowMillis();
+            if (now >= tickAtMillis) {
+                onTick.accept(state, now);
+                tickAtMillis = now + tickEveryMillis;
+            }
+            Consumer<S> task = inbox.poll(Math.max(1, tickAtMillis - now), TimeUnit.MILLISECONDS);
+            if (task != null) {
+                task.accept(state);
+            }
+        }
+    }
+}
