--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/peer/PeerNetwork.java
@@ -0,0 +1,284 @@
+package org.guavathread.router.peer;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import org.glassfish.grizzly.CompletionHandler;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.membership.Hello;
+import org.guavathread.core.message.PeerMessage;
+import org.guavathread.core.sheet.SocketAddressText;
+import org.guavathread.core.time.Clock;
+import org.guavathread.router.supervisor.Supervised;
+import org.guavathread.wire.Frame;
+import org.guavathread.wire.FrameCodec;
+import org.tinylog.Logger;
+
+/**
+ * Sends messages to other hosts and takes theirs. One connection is opened to each host that this one has something to
+ * ask; answers come back on the connection of the question.
+ *
+ * <pre>{@code
+ * network.ask(host, new WitnessPing(epoch), clock.nowMillis() + 500).thenAccept(reply -> ...);
+ * }</pre>
+ */
+public final class PeerNetwork implements Supervised {
+
+    private static final long HOUSEKEEPING_EVERY_MILLIS = 100;
+    private static final int MAX_PENDING_WRITE_BYTES = 4 * 1024 * 1024;
+    private static final int MAX_LOGGED_NAME_LENGTH = 64;
+
+    private final SocketAddressText listen;
+    private final PeerDirectory directory;
+    private final Supplier<Hello> hello;
+    private final PeerHandler handler;
+    private final Clock clock;
+    private final TCPNIOTransport transport;
+    private final Attribute<PeerConnection> connectionAttribute =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("peer-connection-" + System.identityHashCode(this));
+    private final Map<HostId, CompletableFuture<PeerConnection>> outgoing = new ConcurrentHashMap<>();
+    private final Set<Connection<?>> incoming = ConcurrentHashMap.newKeySet();
+    private final ScheduledExecutorService housekeeping =
+            Executors.newSingleThreadScheduledExecutor(PeerNetwork::housekeepingThread);
+
+    /**
+     * Builds the network.
+     *
+     * @param listen where to listen for other hosts
+     * @param directory says which hosts there are
+     * @param hello makes the first message of a connection
+     * @param codec turns frames into bytes
+     * @param handler takes the messages of other hosts
+     * @param clock source of the time
+     */
+    public PeerNetwork(
+            SocketAddressText listen,
+            PeerDirectory directory,
+            Supplier<Hello> hello,
+            FrameCodec codec,
+            PeerHandler handler,
+            Clock clock) {
+        this.listen = listen;
+        this.directory = directory;
+        this.hello = hello;
+        this.handler = handler;
+        this.clock = clock;
+        FilterChainBuilder chain = FilterChainBuilder.stateless()
+                .add(new TransportFilter())
+                .add(new FrameFilter(codec))
+                .add(new MessageFilter());
+        transport = TCPNIOTransportBuilder.newInstance()
+                .setProcessor(chain.build())
+                .setTcpNoDelay(true)
+                .setReuseAddress(true)
+                .build();
+        transport.getAsyncQueueIO().getWriter().setMaxPendingBytesPerConnection(MAX_PENDING_WRITE_BYTES);
+    }
+
+    @Override
+    public String name() {
+        return "peer-network";
+    }
+
+    @Override
+    public void start() {
+        try {
+            transport.bind(new InetSocketAddress(listen.ip(), listen.port()));
+            transport.start();
+        } catch (IOException e) {
+            throw new UncheckedIOException("Cannot listen for hosts on " + listen + ": " + e.getMessage(), e);
+        }
+        housekeeping.scheduleWithFixedDelay(
+                this::expireAll, HOUSEKEEPING_EVERY_MILLIS, HOUSEKEEPING_EVERY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void stop() {
+        housekeeping.shutdownNow();
+        try {
+            transport.shutdownNow();
+        } catch (IOException e) {
+            Logger.warn(e, "The network between hosts did not stop cleanly.");
+        }
+    }
+
+    /**
+     * Sends a message that expects no answer. Nothing is reported if it is lost.
+     *
+     * @param to the host
+     * @param message the message
+     */
+    public void send(HostId to, PeerMessage message) {
+        connectionTo(to).thenAccept(c -> c.send(message)).exceptionally(e -> null);
+    }
+
+    /**
+     * Sends a message and waits for its answer.
+     *
+     * @param to the host
+     * @param message the message
+     * @param deadlineMillis until when to wait, in milliseconds since the epoch
+     * @return the answer, completed on a network thread; failed with {@link PeerException}
+     */
+    public CompletableFuture<PeerMessage> ask(HostId to, PeerMessage message, long deadlineMillis) {
+        CompletableFuture<PeerMessage> answer =
+                connectionTo(to).thenCompose(c -> c.ask(message, clock.nowMillis(), deadlineMillis));
+        long waitMillis = Math.max(1, deadlineMillis - clock.nowMillis());
+        if (!answer.isDone()) {
+            answer.orTimeout(waitMillis + HOUSEKEEPING_EVERY_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        return answer;
+    }
+
+    /**
+     * Counts the open connections.
+     *
+     * @return connections in both directions
+     */
+    public int openConnections() {
+        return incoming.size()
+                + (int) outgoing.values().stream()
+                        .filter(f -> f.isDone() && !f.isCompletedExceptionally())
+                        .count();
+    }
+
+    private CompletableFuture<PeerConnection> connectionTo(HostId to) {
+        CompletableFuture<PeerConnection> existing = outgoing.get(to);
+        if (existing != null && isUsable(existing)) {
+            return existing;
+        }
+        CompletableFuture<PeerConnection> fresh = new CompletableFuture<>();
+        CompletableFuture<PeerConnection> used = outgoing.compute(to, (h, old) -> isUsable(old) ? old : fresh);
+        if (used == fresh) {
+            connect(to, fresh);
+        }
+        return used;
+    }
+
+    private static boolean isUsable(CompletableFuture<PeerConnection> future) {
+        if (future == null || future.isCompletedExceptionally()) {
+            return false;
+        }
+        return !future.isDone() || future.join().isOpen();
+    }
+
+    @SuppressWarnings("rawtypes") // Grizzly declares the handler with the raw type.
+    private void connect(HostId to, CompletableFuture<PeerConnection> result) {
+        Optional<SocketAddressText> address = directory.addressOf(to);
+        if (address.isEmpty()) {
+            result.completeExceptionally(new PeerException("connect", to, "the sheet in force does not list it"));
+            return;
+        }
+        InetSocketAddress target =
+                new InetSocketAddress(address.get().ip(), address.get().port());
+        CompletionHandler<Connection> onConnected = new EmptyCompletionHandler<>() {
+            @Override
+            public void completed(Connection connection) {
+                PeerConnection peer = new PeerConnection(connection, to, clock.nowMillis());
+                connectionAttribute.set(connection, peer);
+                peer.send(hello.get());
+                result.complete(peer);
+            }
+
+            @Override
+            public void failed(Throwable e) {
+                result.completeExceptionally(new PeerException("connect", to, String.valueOf(e.getMessage())));
+            }
+        };
+        transport.connect(target, onConnected);
+        result.orTimeout(PeerConnection.SILENCE_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void expireAll() {
+        long now = clock.nowMillis();
+        outgoing.values().forEach(f -> {
+            if (f.isDone() && !f.isCompletedExceptionally()) {
+                f.join().expire(now);
+            }
+        });
+    }
+
+    private static Thread housekeepingThread(Runnable task) {
+        Thread thread = new Thread(task, "peer-housekeeping");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    /** Joins frames to connections: greetings, answers and messages. */
+    private final class MessageFilter extends BaseFilter {
+
+        @Override
+        public NextAction handleRead(FilterChainContext ctx) {
+            Connection<?> connection = ctx.getConnection();
+            Frame frame = ctx.getMessage();
+            PeerConnection peer = connectionAttribute.get(connection);
+            if (peer == null) {
+                greet(connection, frame);
+            } else if (frame.reply()) {
+                peer.received(clock.nowMillis());
+                peer.complete(frame.correlation(), frame.message());
+            } else {
+                peer.received(clock.nowMillis());
+                handler.handle(peer.peer(), frame.message(), reply -> reply(connection, frame, reply));
+            }
+            return ctx.getStopAction();
+        }
+
+        @Override
+        public NextAction handleClose(FilterChainContext ctx) {
+            incoming.remove(ctx.getConnection());
+            PeerConnection peer = connectionAttribute.get(ctx.getConnection());
+            if (peer != null) {
+                peer.failAll("the connection was closed");
+            }
+            return ctx.getStopAction();
+        }
+
+        private void greet(Connection<?> connection, Frame frame) {
+            String ip = ((InetSocketAddress) connection.getPeerAddress())
+                    .getAddress()
+                    .getHostAddress();
+            if (frame.message() instanceof Hello greeting && directory.accepts(greeting.host(), ip)) {
+                connectionAttribute.set(connection, new PeerConnection(connection, greeting.host(), clock.nowMillis()));
+                incoming.add(connection);
+                return;
+            }
+            String what = frame.message() instanceof Hello greeting
+                    ? "host " + shortened(greeting.host().value()) + " is not listed with this IP number"
+                    : "its first message was no greeting";
+            Logger.warn("Closing the connection from {}: {}.", ip, what);
+            connection.closeSilently();
+        }
+
+        private void reply(Connection<?> connection, Frame request, PeerMessage reply) {
+            if (request.correlation() != 0) {
+                connection.write(new Frame(request.correlation(), true, reply));
+            }
+        }
+
+        private String shortened(String name) {
+            return name.length() <= MAX_LOGGED_NAME_LENGTH ? name : name.substring(0, MAX_LOGGED_NAME_LENGTH) + "...";
+        }
+    }
+}
--- /dev/null
+++ b/guavathread-router/src/test/java/org/guavathread/router/peer/PeerNetworkTest.java
@@ -0,0 +1,158 @@
+package org.guavathread.router.peer;
+
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.guavathread.core.id.DataCentreId;
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.id.Incarnation;
+import org.guavathread.core.id.SheetVersion;
+import org.guavathread.core.membership.Hello;
+import org.guavathread.core.message.PeerMessage;
+import org.guavathread.core.sheet.SocketAddressText;
+import org.guavathread.wire.FrameCodec;
+import org.guavathread.wire.MessageRegistry;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against answers that reach the wrong question, and against connections that hang or that strangers open. */
+class PeerNetworkTest {
+
+    /** Carries a text to the other host and back. */
+    public record Echo(String text) implements PeerMessage {}
+
+    private static final HostId A = new HostId("a");
+    private static final HostId B = new HostId("b");
+    private static final HostId STRANGER = new HostId("stranger");
+    private static final int MANY = 200;
+
+    private final FrameCodec codec =
+            new FrameCodec(new MessageRegistry().register(1, Hello.class).register(2, Echo.class));
+    private Map<HostId, SocketAddressText> addresses;
+    private PeerNetwork a;
+    private PeerNetwork b;
+    private volatile boolean answering = true;
+
+    private final PeerDirectory directory = new PeerDirectory() {
+        @Override
+        public Optional<SocketAddressText> addressOf(HostId host) {
+            return Optional.ofNullable(addresses.get(host));
+        }
+
+        @Override
+        public boolean accepts(HostId host, String ip) {
+            return addresses.containsKey(host) && !host.equals(STRANGER);
+        }
+    };
+
+    @BeforeEach
+    void startTwoHosts() throws Exception {
+        addresses = Map.of(A, freeAddress(), B, freeAddress(), STRANGER, freeAddress());
+        a = network(A);
+        b = network(B);
+        a.start();
+        b.start();
+    }
+
+    @AfterEach
+    void stopHosts() {
+        a.stop();
+        b.stop();
+    }
+
+    @Test
+    void eachAnswerReachesItsQuestion() {
+        for (int i = 0; i < MANY; i++) {
+            String text = "question " + i;
+            assertEquals(new Echo(text), a.ask(B, new Echo(text), soon(5_000)).join());
+        }
+    }
+
+    @Test
+    void unansweredQuestionFailsAtItsDeadline() {
+        answering = false;
+        CompletionException failure = assertThrows(
+                CompletionException.class,
+                () -> a.ask(B, new Echo("x"), soon(200)).join());
+        assertTrue(String.valueOf(failure.getCause()).contains("deadline"), "got " + failure.getCause());
+    }
+
+    @Test
+    void silentConnectionIsReplaced() {
+        answering = false;
+        assertThrows(
+                CompletionException.class,
+                () -> a.ask(B, new Echo("lost"), soon(10_000)).join());
+        answering = true;
+        assertEquals(new Echo("again"), a.ask(B, new Echo("again"), soon(5_000)).join());
+    }
+
+    @Test
+    void unknownHostFailsAtOnce() {
+        HostId unknown = new HostId("unknown");
+        assertThrows(
+                CompletionException.class,
+                () -> a.ask(unknown, new Echo("x"), soon(5_000)).join());
+    }
+
+    @Test
+    void connectionOfUnlistedHostIsClosed() {
+        PeerNetwork stranger = network(STRANGER);
+        stranger.start();
+        try {
+            assertThrows(
+                    CompletionException.class,
+                    () -> stranger.ask(B, new Echo("x"), soon(5_000)).join());
+        } finally {
+            stranger.stop();
+        }
+    }
+
+    @Test
+    void oversizedFrameClosesTheConnection() throws Exception {
+        SocketAddressText address = addresses.get(B);
+        try (Socket socket = new Socket(address.ip(), address.port())) {
+            socket.setSoTimeout(5_000);
+            OutputStream out = socket.getOutputStream();
+            out.write(new byte[] {0x7f, 0, 0, 0});
+            out.flush();
+            InputStream in = socket.getInputStream();
+            assertEquals(-1, in.read(), "the host must close the connection");
+        }
+    }
+
+    private PeerNetwork network(HostId self) {
+        Hello hello = new Hello(self, new Incarnation(1), new DataCentreId("dc"), SheetVersion.NONE);
+        return new PeerNetwork(
+                addresses.get(self), directory, () -> hello, codec, this::echo, System::currentTimeMillis);
+    }
+
+    private void echo(HostId from, PeerMessage message, Consumer<PeerMessage> reply) {
+        if (answering) {
+            reply.accept(message);
+        }
+    }
+
+    private static long soon(long millis) {
+        return System.currentTimeMillis() + TimeUnit.MILLISECONDS.toMillis(millis);
+    }
+
+    private static SocketAddressText freeAddress() throws Exception {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new SocketAddressText("127.0.0.1", socket.getLocalPort());
+        }
+    }
+}
--- /dev/null
+++ b/guavathread-router/src/test/java/org/guavathread/router/supervisor/DutyTest.java
@@ -0,0 +1,82 @@
+package org.guavathread.router.supervisor;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against a failed duty that keeps half-changed state, never comes back, or restarts for ever. */
+class DutyTest {
+
+    private final AtomicInteger gaveUp = new AtomicInteger();
+    private final Supervisor supervisor = new Supervisor("test", System::currentTimeMillis, gaveUp::incrementAndGet);
+    private final Duty<List<String>> duty =
+            supervisor.add(new Duty<List<String>>("list", ArrayList::new, supervisor, System::currentTimeMillis));
+
+    @AfterEach
+    void stop() {
+        supervisor.stop();
+    }
+
+    @Test
+    void failedDutyStartsAgainWithNewState() {
+        supervisor.start();
+        duty.ask(list -> list.add("kept until the failure")).join();
+        CompletableFuture<Object> failing = duty.ask(list -> {
+            throw new IllegalStateException("fault");
+        });
+        assertThrows(CompletionException.class, failing::join);
+        assertEquals(0, duty.ask(List::size).join());
+        assertEquals(0, gaveUp.get());
+    }
+
+    @Test
+    void supervisorGivesUpAfterTooManyFailures() throws InterruptedException {
+        supervisor.start();
+        for (int i = 0; i <= Supervisor.MAX_RESTARTS_A_MINUTE; i++) {
+            duty.offer(list -> {
+                throw new IllegalStateException("fault");
+            });
+        }
+        long deadlineMillis = System.currentTimeMillis() + TimeUnit.SECONDS.toMillis(10);
+        while (gaveUp.get() == 0 && System.currentTimeMillis() < deadlineMillis) {
+            Thread.onSpinWait();
+        }
+        assertEquals(1, gaveUp.get());
+    }
+
+    @Test
+    void fullInboxRefusesInsteadOfWaiting() {
+        supervisor.start();
+        CountDownLatch release = new CountDownLatch(1);
+        duty.offer(list -> awaitQuietly(release));
+        int taken = 0;
+        while (taken <= 2 * Duty.INBOX_CAPACITY && duty.offer(List::size)) {
+            taken++;
+        }
+        assertTrue(taken <= 2 * Duty.INBOX_CAPACITY, "the inbox must be bounded");
+        CompletableFuture<Integer> refused = duty.ask(List::size);
+        release.countDown();
+        CompletionException failure = assertThrows(CompletionException.class, refused::join);
+        assertInstanceOf(InboxFullException.class, failure.getCause());
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await(10, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
