--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/CallerServer.java
@@ -0,0 +1,197 @@
+package org.guavathread.router.caller;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.glassfish.grizzly.ReadHandler;
+import org.glassfish.grizzly.http.io.NIOInputStream;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.guavathread.core.request.Refusal;
+import org.guavathread.core.request.RefusalCode;
+import org.guavathread.core.sheet.SocketAddressText;
+import org.guavathread.core.time.Clock;
+import org.guavathread.router.supervisor.Supervised;
+
+/**
+ * Listens for callers. Bodies are read without blocking, so that slow callers hold a buffer and no thread.
+ *
+ * <pre>{@code
+ * new CallerServer(settings.listenCallers(), ids, clock, exchange -> router.route(exchange)).start();
+ * }</pre>
+ */
+public final class CallerServer implements Supervised {
+
+    /** Header that tells the caller the id of its request. */
+    public static final String REQUEST_ID_HEADER = "Guavathread-Request-Id";
+
+    private static final long HOUSEKEEPING_EVERY_MILLIS = 500;
+    private static final int READ_CHUNK_BYTES = 8 * 1024;
+
+    private final SocketAddressText listen;
+    private final RequestIds ids;
+    private final Clock clock;
+    private final Consumer<CallerExchange> handler;
+    private final HttpServer server = new HttpServer();
+    private final Map<BodyReader, Boolean> receiving = new ConcurrentHashMap<>();
+    private final ScheduledExecutorService housekeeping =
+            Executors.newSingleThreadScheduledExecutor(CallerServer::housekeepingThread);
+
+    /**
+     * Builds the server.
+     *
+     * @param listen where to listen
+     * @param ids makes request ids
+     * @param clock source of the time
+     * @param handler takes each complete request, on a network thread; must not block
+     */
+    public CallerServer(SocketAddressText listen, RequestIds ids, Clock clock, Consumer<CallerExchange> handler) {
+        this.listen = listen;
+        this.ids = ids;
+        this.clock = clock;
+        this.handler = handler;
+    }
+
+    @Override
+    public String name() {
+        return "caller-server";
+    }
+
+    @Override
+    public void start() {
+        NetworkListener listener = new NetworkListener("callers", listen.ip(), listen.port());
+        listener.setMaxHttpHeaderSize(CallerLimits.MAX_HEADER_BYTES);
+        listener.getKeepAlive().setIdleTimeoutInSeconds(CallerLimits.KEEP_ALIVE_IDLE_SECONDS);
+        listener.getKeepAlive().setMaxRequestsCount(-1);
+        listener.getTransport().setKeepAlive(true);
+        listener.getTransport().setTcpNoDelay(true);
+        server.addListener(listener);
+        server.getServerConfiguration().addHttpHandler(new Handler(), "/");
+        server.getServerConfiguration()
+                .setDefaultErrorPageGenerator((request, status, reason, description, failure) -> "");
+        try {
+            server.start();
+        } catch (IOException e) {
+            throw new UncheckedIOException("Cannot listen for callers on " + listen + ": " + e.getMessage(), e);
+        }
+        housekeeping.scheduleWithFixedDelay(
+                () -> receiving.keySet().forEach(r -> r.expire(clock.nowMillis())),
+                HOUSEKEEPING_EVERY_MILLIS,
+                HOUSEKEEPING_EVERY_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void stop() {
+        housekeeping.shutdownNow();
+        server.shutdownNow();
+    }
+
+    private static Thread housekeepingThread(Runnable task) {
+        Thread thread = new Thread(task, "caller-housekeeping");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    /** Collects the body of a request and passes the request on. */
+    private final class Handler extends HttpHandler {
+
+        @Override
+        public void service(Request request, Response response) {
+            response.suspend();
+            BodyReader reader = new BodyReader(request, response);
+            if (request.getContentLengthLong() > CallerLimits.MAX_BODY_BYTES) {
+                reader.refuseTooLarge();
+                return;
+            }
+            receiving.put(reader, Boolean.TRUE);
+            request.getNIOInputStream().notifyAvailable(reader);
+        }
+    }
+
+    /** Reads one body as it arrives. */
+    private final class BodyReader implements ReadHandler {
+
+        private final Request request;
+        private final Response response;
+        private final NIOInputStream in;
+        private final long deadlineMillis = clock.nowMillis() + CallerLimits.RECEIVE_DEADLINE_MILLIS;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+        BodyReader(Request request, Response response) {
+            this.request = request;
+            this.response = response;
+            this.in = request.getNIOInputStream();
+        }
+
+        @Override
+        public void onDataAvailable() throws Exception {
+            readReady();
+            if (body.size() > CallerLimits.MAX_BODY_BYTES) {
+                refuseTooLarge();
+                return;
+            }
+            in.notifyAvailable(this);
+        }
+
+        @Override
+        public void onAllDataRead() throws Exception {
+            readReady();
+            if (body.size() > CallerLimits.MAX_BODY_BYTES) {
+                refuseTooLarge();
+            } else if (receiving.remove(this) != null) {
+                handler.accept(new GrizzlyExchange(ids.next(), request, response, body.toByteArray(), clock));
+            }
+        }
+
+        @Override
+        public void onError(Throwable failure) {
+            receiving.remove(this);
+            if (response.isSuspended()) {
+                response.resume();
+            }
+        }
+
+        void expire(long nowMillis) {
+            if (nowMillis >= deadlineMillis && receiving.remove(this) != null) {
+                refuseAndClose(Refusal.notRun(
+                        RefusalCode.BAD_REQUEST,
+                        "The body was not complete within " + CallerLimits.RECEIVE_DEADLINE_MILLIS
+                                + " ms; send it faster or in a smaller request."));
+            }
+        }
+
+        void refuseTooLarge() {
+            receiving.remove(this);
+            refuseAndClose(Refusal.notRun(
+                    RefusalCode.TOO_LARGE,
+                    "The body exceeds " + CallerLimits.MAX_BODY_BYTES + " bytes; send a smaller one."));
+        }
+
+        private void refuseAndClose(Refusal refusal) {
+            response.setHeader("Connection", "close");
+            new GrizzlyExchange(ids.next(), request, response, new byte[0], clock).refuse(refusal);
+        }
+
+        private void readReady() throws IOException {
+            byte[] chunk = new byte[READ_CHUNK_BYTES];
+            while (in.isReady() && body.size() <= CallerLimits.MAX_BODY_BYTES) {
+                int read = in.read(chunk);
+                if (read <= 0) {
+                    return;
+                }
+                body.write(chunk, 0, read);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/GrizzlyExchange.java
@@ -0,0 +1,270 @@
+package org.guavathread.router.caller;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.glassfish.grizzly.CloseListener;
+import org.glassfish.grizzly.CloseType;
+import org.glassfish.grizzly.Closeable;
+import org.glassfish.grizzly.WriteHandler;
+import org.glassfish.grizzly.http.io.NIOOutputStream;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.guavathread.core.id.RequestId;
+import org.guavathread.core.request.Refusal;
+import org.guavathread.core.time.Clock;
+import org.tinylog.Logger;
+
+/** An exchange over Grizzly's suspended responses. */
+final class GrizzlyExchange implements CallerExchange {
+
+    private final RequestId id;
+    private final Request request;
+    private final Response response;
+    private final byte[] body;
+    private final long arrivedAtMillis;
+    private final Clock clock;
+    private final CloseListener<Closeable, CloseType> closeListener = (closeable, type) -> callerGone();
+    private final AtomicBoolean answered = new AtomicBoolean();
+    private final List<Runnable> onGone = new ArrayList<>();
+    private boolean gone;
+    private volatile boolean complete;
+
+    GrizzlyExchange(RequestId id, Request request, Response response, byte[] body, Clock clock) {
+        this.id = id;
+        this.request = request;
+        this.response = response;
+        this.body = body;
+        this.clock = clock;
+        this.arrivedAtMillis = clock.nowMillis();
+        request.getRequest().getConnection().addCloseListener(closeListener);
+    }
+
+    @Override
+    public RequestId id() {
+        return id;
+    }
+
+    @Override
+    public long arrivedAtMillis() {
+        return arrivedAtMillis;
+    }
+
+    @Override
+    public String method() {
+        return request.getMethod().getMethodString();
+    }
+
+    @Override
+    public String path() {
+        return request.getRequestURI();
+    }
+
+    @Override
+    public String query() {
+        return request.getQueryString() == null ? "" : "?" + request.getQueryString();
+    }
+
+    @Override
+    public Optional<String> header(String name) {
+        return Optional.ofNullable(request.getHeader(name));
+    }
+
+    @Override
+    public byte[] body() {
+        return body;
+    }
+
+    @Override
+    public void onGone(Runnable action) {
+        synchronized (onGone) {
+            if (!gone) {
+                onGone.add(action);
+                return;
+            }
+        }
+        action.run();
+    }
+
+    @Override
+    public boolean isFinished() {
+        return answered.get() || isGone();
+    }
+
+    @Override
+    public void refuse(Refusal refusal) {
+        if (!answered.compareAndSet(false, true)) {
+            return;
+        }
+        if (refusal.retryAfterMillis() > 0) {
+            response.setHeader("Retry-After", Long.toString(RefusalWriter.retryAfterSeconds(refusal)));
+        }
+        writeWhole(
+                refusal.code().httpStatus(),
+                Map.of("Content-Type", "application/json"),
+                RefusalWriter.body(refusal, id));
+    }
+
+    @Override
+    public void answer(int status, Map<String, String> headers, byte[] content) {
+        if (answered.compareAndSet(false, true)) {
+            writeWhole(status, headers, content);
+        }
+    }
+
+    @Override
+    public Optional<StreamBody> openStream(String contentType) {
+        if (isGone() || !answered.compareAndSet(false, true)) {
+            return Optional.empty();
+        }
+        response.setStatus(200);
+        response.setContentType(contentType);
+        response.setHeader(CallerServer.REQUEST_ID_HEADER, id.value());
+        response.setHeader("Cache-Control", "no-store");
+        return Optional.of(new GrizzlyStream());
+    }
+
+    private boolean isGone() {
+        synchronized (onGone) {
+            return gone;
+        }
+    }
+
+    private void callerGone() {
+        List<Runnable> actions;
+        synchronized (onGone) {
+            if (gone || complete) {
+                return;
+            }
+            gone = true;
+            actions = List.copyOf(onGone);
+            onGone.clear();
+        }
+        actions.forEach(Runnable::run);
+    }
+
+    private void writeWhole(int status, Map<String, String> headers, byte[] content) {
+        complete = true;
+        response.setStatus(status);
+        headers.forEach(response::setHeader);
+        response.setHeader(CallerServer.REQUEST_ID_HEADER, id.value());
+        response.setContentLength(content.length);
+        try {
+            response.getOutputStream().write(content);
+        } catch (IOException e) {
+            Logger.debug("The caller of {} was gone before its answer was written: {}.", id, e.getMessage());
+        }
+        resume();
+    }
+
+    private void resume() {
+        // A kept-alive connection serves many requests; a listener left behind by each would pile up.
+        request.getRequest().getConnection().removeCloseListener(closeListener);
+        if (response.isSuspended()) {
+            response.resume();
+        }
+    }
+
+    /** Writes parts without blocking; a caller that takes nothing for too long loses the stream. */
+    private final class GrizzlyStream implements StreamBody {
+
+        private final NIOOutputStream out = response.getNIOOutputStream();
+        private long stalledAtMillis;
+        private int pendingBytes;
+        private boolean waiting;
+        private boolean ended;
+        private final List<byte[]> queue = new ArrayList<>();
+
+        @Override
+        public synchronized boolean write(byte[] part) {
+            if (ended || isGone()) {
+                return false;
+            }
+            queue.add(part);
+            pendingBytes += part.length;
+            drain();
+            boolean stalled = waiting
+                    && (pendingBytes > CallerLimits.MAX_PENDING_ANSWER_BYTES
+                            || clock.nowMillis() - stalledAtMillis > CallerLimits.WRITE_STALL_LIMIT_MILLIS);
+            if (stalled) {
+                abort();
+            }
+            return !ended;
+        }
+
+        @Override
+        public synchronized void finish() {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            if (!waiting) {
+                close();
+            }
+        }
+
+        @Override
+        public synchronized void abort() {
+            ended = true;
+            queue.clear();
+            complete = true;
+            request.getRequest().getConnection().closeSilently();
+            resume();
+        }
+
+        private void drain() {
+            try {
+                while (!queue.isEmpty() && out.canWrite()) {
+                    byte[] part = queue.remove(0);
+                    pendingBytes -= part.length;
+                    out.write(part);
+                    out.flush();
+                }
+            } catch (IOException e) {
+                abort();
+                return;
+            }
+            if (!queue.isEmpty() && !waiting) {
+                waiting = true;
+                stalledAtMillis = clock.nowMillis();
+                out.notifyCanWrite(new Continuation());
+            }
+        }
+
+        private void close() {
+            complete = true;
+            try {
+                out.close();
+            } catch (IOException e) {
+                Logger.debug("The caller of {} was gone before its stream ended: {}.", id, e.getMessage());
+            }
+            resume();
+        }
+
+        private synchronized void writable() {
+            waiting = false;
+            drain();
+            if (ended && !waiting && queue.isEmpty()) {
+                close();
+            }
+        }
+
+        /** Goes on writing when the caller takes bytes again. */
+        private final class Continuation implements WriteHandler {
+
+            @Override
+            public void onWritePossible() {
+                writable();
+            }
+
+            @Override
+            public void onError(Throwable failure) {
+                abort();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/RefusalWriter.java
@@ -0,0 +1,36 @@
+package org.guavathread.router.caller;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import org.guavathread.core.id.RequestId;
+import org.guavathread.core.request.Refusal;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/** Turns refusals into the JSON that callers see. */
+final class RefusalWriter {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private RefusalWriter() {}
+
+    static byte[] body(Refusal refusal, RequestId id) {
+        Map<String, Object> error = new LinkedHashMap<>();
+        error.put("code", refusal.code().name());
+        error.put("message", refusal.message());
+        error.put("run", refusal.run().wireName());
+        error.put("requestId", id.value());
+        try {
+            return JSON.writeValueAsBytes(Map.of("error", error));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("A refusal cannot be written as JSON: " + refusal, e);
+        }
+    }
+
+    /** Gives whole seconds, rounded up, because the header has no smaller unit. */
+    static long retryAfterSeconds(Refusal refusal) {
+        return (refusal.retryAfterMillis() + 999) / 1_000;
+    }
+}
