--- a/guavathread-core/src/main/java/org/guavathread/core/sheet/KeyHash.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/sheet/KeyHash.java
@@ -40,13 +40,24 @@
      * @throws IllegalArgumentException if the text has another form
      */
     public static KeyHash parse(String text) {
-        if (text == null || !text.matches(PREFIX + "[0-9a-fA-F]{" + DIGITS + "}")) {
-            throw new IllegalArgumentException("\"" + text + "\" is not a key hash; write " + PREFIX + " and " + DIGITS
-                    + " hex digits, as `guavathread sheet hash-key` prints them.");
+        if (!isWellFormed(text)) {
+            throw new IllegalArgumentException("The value is not a key hash; write " + PREFIX + " and " + DIGITS
+                    + " hex digits, as `guavathread sheet hash-key` prints them (the value is not shown, since it may"
+                    + " be an API key).");
         }
         return new KeyHash(HexFormat.of().parseHex(text.substring(PREFIX.length())));
     }
 
+    /**
+     * Tells whether a text has the form that {@link #parse} accepts.
+     *
+     * @param text the text, may be null
+     * @return true for {@code sha256:} and 64 hex digits
+     */
+    public static boolean isWellFormed(String text) {
+        return text != null && text.matches(PREFIX + "[0-9a-fA-F]{" + DIGITS + "}");
+    }
+
     /** Compares in constant time, so that the time taken does not tell how many bytes match. */
     @Override
     public boolean equals(Object other) {
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/sheet/NearestName.java
@@ -0,0 +1,42 @@
+package org.guavathread.core.sheet;
+
+import java.util.Collection;
+import java.util.Comparator;
+
+/** Finds the known name that a mistyped name most likely stands for. */
+final class NearestName {
+
+    /** Two edits cover a transposition, a lost or a doubled letter; more would suggest unrelated short names. */
+    private static final int MAX_EDITS = 2;
+
+    private NearestName() {}
+
+    static String suggestion(String written, Collection<String> known) {
+        return known.stream()
+                .filter(name -> edits(written, name) <= Math.min(MAX_EDITS, name.length() / 2))
+                .min(Comparator.<String>comparingInt(name -> edits(written, name))
+                        .thenComparing(Comparator.naturalOrder()))
+                .map(name -> "; did you mean \"" + name + "\"?")
+                .orElse("");
+    }
+
+    private static int edits(String a, String b) {
+        if (Math.abs(a.length() - b.length()) > MAX_EDITS) {
+            return MAX_EDITS + 1;
+        }
+        int[] previous = new int[b.length() + 1];
+        for (int j = 0; j <= b.length(); j++) {
+            previous[j] = j;
+        }
+        for (int i = 1; i <= a.length(); i++) {
+            int[] row = new int[b.length() + 1];
+            row[0] = i;
+            for (int j = 1; j <= b.length(); j++) {
+                int replaced = previous[j - 1] + (a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1);
+                row[j] = Math.min(replaced, Math.min(previous[j], row[j - 1]) + 1);
+            }
+            previous = row;
+        }
+        return previous[b.length()];
+    }
+}
--- a/guavathread-core/src/main/java/org/guavathread/core/sheet/Sheet.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/sheet/Sheet.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Function;
 
@@ -134,6 +135,31 @@
         return Optional.ofNullable(dataCentres.get(dataCentre)).map(DataCentre::region);
     }
 
+    /** Two sheets are equal if they have the same version and the same entries; the order of entries has no meaning. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Sheet that
+                && version.equals(that.version)
+                && publishedAt.equals(that.publishedAt)
+                && claimRetentionSeconds == that.claimRetentionSeconds
+                && dataCentres.equals(that.dataCentres)
+                && hosts.equals(that.hosts)
+                && workspaces.equals(that.workspaces)
+                && models.equals(that.models)
+                && backendServers.equals(that.backendServers)
+                && routes.equals(that.routes);
+    }
+
+    @Override
+    public int hashCode() {
+        return Objects.hash(version, hosts, workspaces, backendServers, routes);
+    }
+
+    @Override
+    public String toString() {
+        return "sheet " + version;
+    }
+
     /** Collects the parts of a sheet; later setters replace earlier ones. */
     public static final class Builder {
 
--- a/guavathread-core/src/main/java/org/guavathread/core/sheet/SocketAddressText.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/sheet/SocketAddressText.java
@@ -1,5 +1,9 @@
 package org.guavathread.core.sheet;
 
+import java.net.InetAddress;
+import java.net.UnknownHostException;
+import java.util.regex.Pattern;
+
 /**
  * An IP number and a port.
  *
@@ -14,6 +18,10 @@
 
     private static final int MAX_PORT = 65_535;
 
+    /** Four numbers of 0 to 255; leading zeros are refused, since some systems read them as octal. */
+    private static final Pattern IPV4 =
+            Pattern.compile("(?!0\\d)(25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(?!0\\d)(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}");
+
     /**
      * Parses {@code IP:port}; an IPv6 number stands in brackets.
      *
@@ -26,14 +34,29 @@
         if (colon <= 0) {
             throw new IllegalArgumentException("\"" + text + "\" is not an address; write IP:port.");
         }
-        String ip = text.substring(0, colon).replace("[", "").replace("]", "");
-        if (!ip.matches("[0-9.]+") && !ip.matches("[0-9a-fA-F:.]*:[0-9a-fA-F:.]*")) {
+        String written = text.substring(0, colon);
+        boolean bracketed = written.startsWith("[") && written.endsWith("]");
+        String ip = bracketed ? written.substring(1, written.length() - 1) : written;
+        if (bracketed ? !isIpv6(ip) : !IPV4.matcher(ip).matches()) {
             throw new IllegalArgumentException(
-                    "\"" + text + "\" does not start with an IP number; names are not used.");
+                    "\"" + text + "\" does not start with an IP number (IPv6 in brackets); names are not looked up.");
         }
         return new SocketAddressText(ip, port(text, text.substring(colon + 1)));
     }
 
+    /** A text with a colon is never looked up as a name by InetAddress. */
+    private static boolean isIpv6(String ip) {
+        if (!ip.matches("[0-9a-fA-F:.]*:[0-9a-fA-F:.]*")) {
+            return false;
+        }
+        try {
+            InetAddress.getByName(ip);
+            return true;
+        } catch (UnknownHostException e) {
+            return false;
+        }
+    }
+
     private static int port(String text, String digits) {
         if (!digits.matches("[0-9]{1,5}") || Integer.parseInt(digits) < 1 || Integer.parseInt(digits) > MAX_PORT) {
             throw new IllegalArgumentException("\"" + text + "\" ends with a wrong port; write 1 to " + MAX_PORT + ".");
