--- a/guavathread-core/src/main/java/org/guavathread/core/placement/PlaceRenew.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/PlaceRenew.java
@@ -41,5 +41,10 @@
             BackendServerId decode,
             int pieces,
             int promptTokens,
-            int outputTokens) {}
+            int outputTokens) {
+
+        int neededPieces(int tokensPerPiece) {
+            return Math.max(pieces, (promptTokens + outputTokens + tokensPerPiece - 1) / tokensPerPiece);
+        }
+    }
 }
--- a/guavathread-core/src/main/java/org/guavathread/core/placement/PlaceReply.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/PlaceReply.java
@@ -12,18 +12,21 @@
  * @param request the request
  * @param grant the grant, or empty
  * @param refusal the refusal, or empty
+ * @param waitMillis estimated wait in the queue of the cell, for the choice among cells
  */
-public record PlaceReply(RequestId request, Optional<Grant> grant, Optional<Refusal> refusal) implements PeerMessage {
+public record PlaceReply(RequestId request, Optional<Grant> grant, Optional<Refusal> refusal, long waitMillis)
+        implements PeerMessage {
 
     /**
      * Builds a reply that grants.
      *
      * @param request the request
      * @param grant its engines
+     * @param waitMillis estimated wait in the queue of the cell
      * @return the reply
      */
-    public static PlaceReply granted(RequestId request, Grant grant) {
-        return new PlaceReply(request, Optional.of(grant), Optional.empty());
+    public static PlaceReply granted(RequestId request, Grant grant, long waitMillis) {
+        return new PlaceReply(request, Optional.of(grant), Optional.empty(), waitMillis);
     }
 
     /**
@@ -31,9 +34,10 @@
      *
      * @param request the request
      * @param refusal why
+     * @param waitMillis estimated wait in the queue of the cell
      * @return the reply
      */
-    public static PlaceReply refused(RequestId request, Refusal refusal) {
-        return new PlaceReply(request, Optional.empty(), Optional.of(refusal));
+    public static PlaceReply refused(RequestId request, Refusal refusal, long waitMillis) {
+        return new PlaceReply(request, Optional.empty(), Optional.of(refusal), waitMillis);
     }
 }
--- a/guavathread-core/src/main/java/org/guavathread/core/placement/PlacementCell.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/PlacementCell.java
@@ -71,7 +71,7 @@
         List<PlacementAction> actions = new ArrayList<>();
         Reservation held = reservations.get(request.request());
         if (held != null && held.prefill() != null) {
-            actions.add(new PlacementAction.Reply(request.host(), PlaceReply.granted(held.request(), grantOf(held))));
+            actions.add(grantReply(held));
             return actions;
         }
         if (held != null || queue.contains(request.request())) {
@@ -144,8 +144,7 @@
                 adopt(renew.host(), running, ledger, nowMillis);
             } else {
                 reservation.deadline(nowMillis + settings.reservationMillis());
-                int needed =
-                        Math.max(running.pieces(), settings.piecesFor(running.promptTokens() + running.outputTokens()));
+                int needed = running.neededPieces(settings.tokensPerPiece());
                 if (needed > reservation.pieces()) {
                     ledger.grow(reservation, needed);
                 }
@@ -379,18 +378,22 @@
         choice.decode().linkBusyUntilMillis(choice.transferEndMillis());
         choice.prefill().linkBusyUntilMillis(choice.transferEndMillis());
         pace.granted(nowMillis);
-        actions.add(
-                new PlacementAction.Reply(request.host(), PlaceReply.granted(request.request(), grantOf(reservation))));
+        actions.add(grantReply(reservation));
     }
 
-    private static Grant grantOf(Reservation reservation) {
-        return new Grant(
-                reservation.prefill(), reservation.decode(), reservation.pieces(), reservation.deadlineMillis());
+    private PlacementAction grantReply(Reservation held) {
+        Grant grant = new Grant(held.prefill(), held.decode(), held.pieces(), held.deadlineMillis());
+        return new PlacementAction.Reply(held.host(), PlaceReply.granted(held.request(), grant, estimatedWaitMillis()));
     }
 
     private void adopt(HostId host, PlaceRenew.Running running, DecodeLedger ledger, long nowMillis) {
         Reservation reservation = new Reservation(
-                        running.request(), host, running.workspace(), running.decode(), running.pieces(), nowMillis)
+                        running.request(),
+                        host,
+                        running.workspace(),
+                        running.decode(),
+                        running.neededPieces(settings.tokensPerPiece()),
+                        nowMillis)
                 .deadline(nowMillis + settings.reservationMillis());
         queue.remove(running.request());
         reservations.put(running.request(), reservation);
@@ -475,8 +478,9 @@
         }
     }
 
-    private static void refuse(PlaceRequest request, Refusal refusal, List<PlacementAction> actions) {
-        actions.add(new PlacementAction.Reply(request.host(), PlaceReply.refused(request.request(), refusal)));
+    private void refuse(PlaceRequest request, Refusal refusal, List<PlacementAction> actions) {
+        actions.add(new PlacementAction.Reply(
+                request.host(), PlaceReply.refused(request.request(), refusal, estimatedWaitMillis())));
     }
 
     private void addWake(long nowMillis, List<PlacementAction> actions) {
