--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/orphan/package-info.java
@@ -0,0 +1,2 @@
+/** Finds engine requests and reservations whose request no longer exists. */
+package org.guavathread.core.orphan;
