Add an HTTP client that reports whether a request can have run

Change: HttpClient, built on Grizzly's filter chain, keeps a bounded pool for each address and ends exchanges at stored deadlines, on silence and at byte limits. It counts the bytes that the operating system accepted and reports RequestNotSentException only if that count is zero and no write is pending.

--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/ConnectionPool.java
@@ -0,0 +1,257 @@
+package org.guavathread.router.http;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.glassfish.grizzly.AbstractSocketConnectorHandler;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.GrizzlyFuture;
+import org.guavathread.core.sheet.SocketAddressText;
+
+/**
+ * The connections to one address. Each open or opening connection takes one of a bounded number of slots; requests
+ * beyond it wait in a bounded queue until a slot is free or their deadline has passed.
+ */
+final class ConnectionPool {
+
+    private final SocketAddressText peer;
+    private final HttpClientSettings settings;
+    private final AbstractSocketConnectorHandler connector;
+    private final Timers timers;
+    private final Deque<PooledConnection> idle = new ArrayDeque<>();
+    private final Set<HttpExchange> waiting = new LinkedHashSet<>();
+    private int slotsUsed;
+    private boolean closed;
+
+    ConnectionPool(
+            SocketAddressText peer,
+            HttpClientSettings settings,
+            AbstractSocketConnectorHandler connector,
+            Timers timers) {
+        this.peer = peer;
+        this.settings = settings;
+        this.connector = connector;
+        this.timers = timers;
+    }
+
+    /** Hands over an unused connection, opens one, or lets the exchange wait. */
+    void acquire(HttpExchange exchange) {
+        List<PooledConnection> unfit = new ArrayList<>();
+        PooledConnection found;
+        boolean connect = false;
+        boolean full = false;
+        synchronized (this) {
+            found = takeIdle(exchange, unfit);
+            if (found == null && !closed && slotsUsed < settings.maxConnections()) {
+                slotsUsed++;
+                connect = true;
+            } else if (found == null && (closed || waiting.size() >= settings.maxWaiting())) {
+                full = true;
+            } else if (found == null) {
+                waiting.add(exchange);
+            }
+        }
+        unfit.forEach(each -> each.connection().closeSilently());
+        if (found != null) {
+            exchange.onConnection(found);
+        } else if (connect) {
+            connect(exchange);
+        } else if (full) {
+            exchange.failNotSent(
+                    HttpStep.POOL, settings.maxWaiting() + " requests already wait for a connection", null);
+        }
+    }
+
+    private PooledConnection takeIdle(HttpExchange exchange, List<PooledConnection> unfit) {
+        long now = timers.nowMillis();
+        while (!idle.isEmpty()) {
+            PooledConnection next = idle.pollFirst();
+            if (!next.isRemoved() && isFit(next, exchange, now)) {
+                return next;
+            }
+            if (next.markRemoved()) {
+                slotsUsed--;
+                unfit.add(next);
+            }
+        }
+        return null;
+    }
+
+    private boolean isFit(PooledConnection next, HttpExchange exchange, long now) {
+        long unusedFor = now - next.idleSinceMillis();
+        return !exchange.needsNewConnection()
+                && unusedFor < settings.idleMillis()
+                && (exchange.isRepeatable() || unusedFor < settings.trustIdleMillis())
+                && !next.isStale();
+    }
+
+    /** Forgets an exchange that ended while it waited. */
+    synchronized void forget(HttpExchange exchange) {
+        waiting.remove(exchange);
+    }
+
+    /** Takes back a connection whose exchange is complete. */
+    void release(PooledConnection connection) {
+        boolean discard;
+        synchronized (this) {
+            discard = closed || !connection.connection().isOpen();
+            if (!discard && !connection.isRemoved()) {
+                connection.idleSinceMillis(timers.nowMillis());
+                idle.addFirst(connection);
+            }
+        }
+        if (discard) {
+            discard(connection);
+            return;
+        }
+        timers.at(connection.idleSinceMillis() + settings.idleMillis(), this::closeExpired);
+        serveNext();
+    }
+
+    /** Closes a connection and frees its slot. */
+    void discard(PooledConnection connection) {
+        synchronized (this) {
+            if (connection.markRemoved()) {
+                slotsUsed--;
+            }
+            idle.remove(connection);
+        }
+        connection.connection().closeSilently();
+        timers.soon(this::serveNext);
+    }
+
+    private void closeExpired() {
+        List<PooledConnection> expired = new ArrayList<>();
+        synchronized (this) {
+            long now = timers.nowMillis();
+            for (Iterator<PooledConnection> each = idle.iterator(); each.hasNext(); ) {
+                PooledConnection next = each.next();
+                if (now - next.idleSinceMillis() >= settings.idleMillis()) {
+                    each.remove();
+                    expired.add(next);
+                }
+            }
+        }
+        expired.forEach(this::discard);
+    }
+
+    /** Lets the longest waiting exchange try again, if a connection or a slot is free. */
+    private void serveNext() {
+        HttpExchange next;
+        synchronized (this) {
+            if (waiting.isEmpty() || idle.isEmpty() && slotsUsed >= settings.maxConnections()) {
+                return;
+            }
+            next = waiting.iterator().next();
+            waiting.remove(next);
+        }
+        if (next.isEnded()) {
+            timers.soon(this::serveNext);
+            return;
+        }
+        acquire(next);
+    }
+
+    private void connect(HttpExchange exchange) {
+        exchange.atStep(HttpStep.CONNECT);
+        Attempt attempt = new Attempt(exchange);
+        attempt.start();
+    }
+
+    synchronized int idleCount() {
+        return idle.size();
+    }
+
+    synchronized int slotsUsed() {
+        return slotsUsed;
+    }
+
+    void close() {
+        List<PooledConnection> all;
+        synchronized (this) {
+            closed = true;
+            all = new ArrayList<>(idle);
+        }
+        all.forEach(this::discard);
+    }
+
+    /** The opening of one connection. */
+    private final class Attempt extends EmptyCompletionHandler<Connection<?>> {
+
+        private final HttpExchange exchange;
+        private final AtomicBoolean ended = new AtomicBoolean();
+        private final Timers.Timer timeout;
+        private volatile Future<?> opening;
+
+        private Attempt(HttpExchange exchange) {
+            this.exchange = exchange;
+            this.timeout = timers.at(timers.nowMillis() + settings.connectTimeoutMillis(), this::expire);
+        }
+
+        @SuppressWarnings({"unchecked", "rawtypes"})
+        private void start() {
+            try {
+                GrizzlyFuture<Connection> future = connector.connect(new InetSocketAddress(peer.ip(), peer.port()));
+                opening = future;
+                future.addCompletionHandler((EmptyCompletionHandler) this);
+            } catch (RuntimeException e) {
+                failed(e);
+            }
+        }
+
+        @Override
+        public void completed(Connection<?> connection) {
+            if (!ended.compareAndSet(false, true)) {
+                connection.closeSilently();
+                return;
+            }
+            timeout.cancel();
+            PooledConnection opened = new PooledConnection(ConnectionPool.this, connection);
+            if (!connection.isOpen()) {
+                discard(opened);
+                exchange.failNotSent(HttpStep.CONNECT, "the peer closed the new connection at once", null);
+                return;
+            }
+            exchange.onConnection(opened);
+        }
+
+        @Override
+        public void failed(Throwable cause) {
+            end("the connection was not opened: " + cause, cause);
+        }
+
+        @Override
+        public void cancelled() {
+            end("the opening of the connection was cancelled", null);
+        }
+
+        private void expire() {
+            end("the connection was not open after " + settings.connectTimeoutMillis() + " ms", null);
+            Future<?> current = opening;
+            if (current != null) {
+                current.cancel(true);
+            }
+        }
+
+        private void end(String reason, Throwable cause) {
+            if (!ended.compareAndSet(false, true)) {
+                return;
+            }
+            timeout.cancel();
+            synchronized (ConnectionPool.this) {
+                slotsUsed--;
+            }
+            exchange.failNotSent(HttpStep.CONNECT, reason, cause);
+            timers.soon(ConnectionPool.this::serveNext);
+        }
+    }
+}
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/HttpAnswerListener.java
@@ -0,0 +1,34 @@
+package org.guavathread.router.http;
+
+/**
+ * Receives a streamed answer.
+ *
+ * <p>Calls never overlap and come in the order of the stream. Exactly one of {@link #onDone} and {@link #onFailure} is
+ * the last call. The calls run on the client's worker threads and must not block.
+ */
+public interface HttpAnswerListener {
+
+    /**
+     * Receives status and headers, before any chunk.
+     *
+     * @param head status and headers
+     */
+    void onHead(HttpHead head);
+
+    /**
+     * Receives the next part of the body.
+     *
+     * @param bytes one or more bytes; chunk limits carry no meaning
+     */
+    void onBytes(byte[] bytes);
+
+    /** Tells that the body is complete. */
+    void onDone();
+
+    /**
+     * Tells that no more will come.
+     *
+     * @param failure {@link RequestNotSentException} or {@link ExchangeFailedException}
+     */
+    void onFailure(HttpExchangeException failure);
+}
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/HttpClient.java
@@ -0,0 +1,204 @@
+package org.guavathread.router.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.glassfish.grizzly.AbstractSocketConnectorHandler;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.http.HttpClientFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+import org.guavathread.core.sheet.SocketAddressText;
+import org.guavathread.core.time.Clock;
+
+/**
+ * Asynchronous HTTP/1.1 client with one connection pool per address.
+ *
+ * <pre>{@code
+ * HttpClient client = HttpClient.start(HttpClientSettings.DEFAULTS, clock);
+ * client.send(SocketAddressText.parse("127.0.0.1:9001"), HttpRequest.get("/hosts").build())
+ *         .thenAccept(answer -> use(answer.text()));
+ * }</pre>
+ *
+ * <p>What the two failures guarantee:
+ *
+ * <ul>
+ *   <li>{@link RequestNotSentException}: the operating system accepted no byte of the request and never will. Either no
+ *       write was begun, or the write ended in a failure and the count of accepted bytes was zero.
+ *   <li>{@link ExchangeFailedException}: everything else. The request may have run. This includes a write that was
+ *       still pending when the exchange ended, even if no byte had been accepted.
+ * </ul>
+ *
+ * <p>A pooled connection that the peer closed meanwhile: a connection whose close has reached this machine before it is
+ * taken from the pool is not used. If the close arrives later, but before the operating system accepts the first byte,
+ * the request is sent once over a new connection, also if it is non-repeatable, because it was certainly not sent. If
+ * the close arrives after the operating system accepted a byte, the exchange fails with
+ * {@link ExchangeFailedException}, although the peer may not have read the request: this cannot be told apart. The
+ * client never sends a request again in that case.
+ */
+public final class HttpClient implements AutoCloseable {
+
+    private final HttpClientSettings settings;
+    private final TCPNIOTransport transport;
+    private final AbstractSocketConnectorHandler connector;
+    private final Timers timers;
+    private final Map<SocketAddressText, ConnectionPool> pools = new ConcurrentHashMap<>();
+    private final Set<HttpExchange> running = ConcurrentHashMap.newKeySet();
+    private volatile boolean closed;
+
+    private HttpClient(HttpClientSettings settings, Clock clock, TCPNIOTransport transport) {
+        this.settings = settings;
+        this.transport = transport;
+        this.connector = TCPNIOConnectorHandler.builder(transport).build();
+        this.timers = new Timers(clock);
+    }
+
+    /**
+     * Starts a client.
+     *
+     * @param settings the limits
+     * @param clock the source of the current time
+     * @return the client; close it to stop its threads
+     * @throws IOException if the operating system provides no selector
+     */
+    public static HttpClient start(HttpClientSettings settings, Clock clock) throws IOException {
+        FilterChain chain = FilterChainBuilder.stateless()
+                .add(new TransportFilter())
+                .add(new HttpClientFilter(settings.maxHeadBytes()))
+                .add(new AnswerFilter())
+                .build();
+        ThreadPoolConfig workers = ThreadPoolConfig.defaultConfig()
+                .copy()
+                .setPoolName("http-client")
+                .setDaemon(true)
+                .setCorePoolSize(settings.workerThreads())
+                .setMaxPoolSize(settings.workerThreads());
+        TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance()
+                .setName("http-client")
+                .setTcpNoDelay(true)
+                .setSelectorRunnersCount(1)
+                .setWorkerThreadPoolConfig(workers)
+                .setProcessor(chain)
+                .build();
+        transport.start();
+        return new HttpClient(settings, clock, transport);
+    }
+
+    /**
+     * Sends a request and collects its answer. Cancelling the future ends the exchange.
+     *
+     * @param peer the address to send to
+     * @param request the request
+     * @return the answer with any status, or a failure: {@link RequestNotSentException} or
+     *     {@link ExchangeFailedException}
+     */
+    public CompletableFuture<HttpAnswer> send(SocketAddressText peer, HttpRequest request) {
+        Collector collector = new Collector();
+        HttpCall call = stream(peer, request, collector);
+        collector.future.whenComplete((answer, failure) -> {
+            if (collector.future.isCancelled()) {
+                call.cancel();
+            }
+        });
+        return collector.future;
+    }
+
+    /**
+     * Sends a request and passes on its answer part by part.
+     *
+     * @param peer the address to send to
+     * @param request the request
+     * @param listener receives the answer
+     * @return a handle to end the exchange
+     */
+    public HttpCall stream(SocketAddressText peer, HttpRequest request, HttpAnswerListener listener) {
+        ConnectionPool pool = poolOf(peer);
+        AtomicReference<HttpExchange> self = new AtomicReference<>();
+        HttpExchange exchange =
+                new HttpExchange(peer, request, listener, pool, timers, () -> running.remove(self.get()));
+        self.set(exchange);
+        running.add(exchange);
+        if (closed) {
+            exchange.failNotSent(HttpStep.POOL, "the client is closed", null);
+            return exchange;
+        }
+        exchange.begin();
+        return exchange;
+    }
+
+    private ConnectionPool poolOf(SocketAddressText peer) {
+        return pools.computeIfAbsent(peer, address -> new ConnectionPool(address, settings, connector, timers));
+    }
+
+    /**
+     * Counts the connections to an address that no request uses.
+     *
+     * @param peer the address
+     * @return the number of unused open connections
+     */
+    public int idleConnections(SocketAddressText peer) {
+        return poolOf(peer).idleCount();
+    }
+
+    /**
+     * Counts the connections to an address.
+     *
+     * @param peer the address
+     * @return the number of open and opening connections
+     */
+    public int connections(SocketAddressText peer) {
+        return poolOf(peer).slotsUsed();
+    }
+
+    /** Ends all exchanges with a failure, closes all connections and stops the threads. */
+    @Override
+    public void close() {
+        closed = true;
+        running.forEach(exchange -> exchange.fail("the client was closed", null));
+        pools.values().forEach(ConnectionPool::close);
+        timers.close();
+        try {
+            transport.shutdownNow();
+        } catch (IOException e) {
+            throw new UncheckedIOException("The HTTP client did not stop its selector.", e);
+        }
+    }
+
+    /** Collects an answer; its length is bounded by the exchange. */
+    private static final class Collector implements HttpAnswerListener {
+
+        private final CompletableFuture<HttpAnswer> future = new CompletableFuture<>();
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private HttpHead head;
+
+        @Override
+        public void onHead(HttpHead received) {
+            head = received;
+        }
+
+        @Override
+        public void onBytes(byte[] bytes) {
+            body.writeBytes(bytes);
+        }
+
+        @Override
+        public void onDone() {
+            future.complete(new HttpAnswer(head, body.toByteArray()));
+        }
+
+        @Override
+        public void onFailure(HttpExchangeException failure) {
+            future.completeExceptionally(failure);
+        }
+    }
+}
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/HttpClientSettings.java
@@ -0,0 +1,62 @@
+package org.guavathread.router.http;
+
+/**
+ * Limits of an {@link HttpClient}.
+ *
+ * @param maxConnections greatest number of connections per address, open and opening
+ * @param maxWaiting greatest number of requests per address that wait for a connection
+ * @param connectTimeoutMillis time for opening a connection, in milliseconds
+ * @param idleMillis time after which an unused connection is closed, in milliseconds
+ * @param trustIdleMillis time after which an unused connection no longer carries non-repeatable requests, in
+ *     milliseconds
+ * @param maxHeadBytes greatest length of the status line and the headers of an answer
+ * @param workerThreads number of threads that parse answers and call listeners
+ */
+public record HttpClientSettings(
+        int maxConnections,
+        int maxWaiting,
+        long connectTimeoutMillis,
+        long idleMillis,
+        long trustIdleMillis,
+        int maxHeadBytes,
+        int workerThreads) {
+
+    /** 64 connections, 1,024 waiting requests, 1 s to connect, 30 s idle, 10 s trusted, 16 KiB heads, 4 threads. */
+    public static final HttpClientSettings DEFAULTS =
+            new HttpClientSettings(64, 1_024, 1_000, 30_000, 10_000, 16 * 1024, 4);
+
+    /**
+     * Replaces the bounds of the pool.
+     *
+     * @param connections greatest number of connections per address
+     * @param waiting greatest number of requests per address that wait for a connection
+     * @return changed settings
+     */
+    public HttpClientSettings withPool(int connections, int waiting) {
+        return new HttpClientSettings(
+                connections, waiting, connectTimeoutMillis, idleMillis, trustIdleMillis, maxHeadBytes, workerThreads);
+    }
+
+    /**
+     * Replaces the time for opening a connection.
+     *
+     * @param millis milliseconds
+     * @return changed settings
+     */
+    public HttpClientSettings withConnectTimeoutMillis(long millis) {
+        return new HttpClientSettings(
+                maxConnections, maxWaiting, millis, idleMillis, trustIdleMillis, maxHeadBytes, workerThreads);
+    }
+
+    /**
+     * Replaces the limits of unused connections.
+     *
+     * @param idle time after which an unused connection is closed, in milliseconds
+     * @param trust time after which it no longer carries non-repeatable requests, in milliseconds
+     * @return changed settings
+     */
+    public HttpClientSettings withIdleMillis(long idle, long trust) {
+        return new HttpClientSettings(
+                maxConnections, maxWaiting, connectTimeoutMillis, idle, trust, maxHeadBytes, workerThreads);
+    }
+}
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/HttpStep.java
@@ -0,0 +1,15 @@
+package org.guavathread.router.http;
+
+/** The step of an exchange at which something happened. */
+public enum HttpStep {
+    /** Waiting for a free connection of the pool. */
+    POOL,
+    /** Opening a new connection. */
+    CONNECT,
+    /** Writing the request. */
+    SEND,
+    /** Waiting for the status line and the headers of the answer. */
+    ANSWER_HEAD,
+    /** Reading the body of the answer. */
+    ANSWER_BODY
+}
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/SerialDelivery.java
@@ -0,0 +1,25 @@
+package org.guavathread.router.http;
+
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Runs tasks one after the other in the order of their arrival, on whichever thread is at hand. No lock is held while
+ * a task runs, so a task may cancel its own exchange.
+ */
+final class SerialDelivery {
+
+    private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger pending = new AtomicInteger();
+
+    void deliver(Runnable task) {
+        tasks.add(task);
+        if (pending.getAndIncrement() != 0) {
+            return;
+        }
+        do {
+            tasks.remove().run();
+        } while (pending.decrementAndGet() != 0);
+    }
+}
--- /dev/null
+++ b/guavathread-router/src/test/java/org/guavathread/router/http/Polling.java
@@ -0,0 +1,22 @@
+package org.guavathread.router.http;
+
+import java.util.function.BooleanSupplier;
+
+/** Waits for a state with a generous deadline, so that a slow machine does not fail a test. */
+public final class Polling {
+
+    private static final long LIMIT_MILLIS = 20_000;
+
+    private Polling() {}
+
+    /** Waits until the state holds. */
+    public static void until(String what, BooleanSupplier state) throws InterruptedException {
+        long deadlineMillis = System.currentTimeMillis() + LIMIT_MILLIS;
+        while (!state.getAsBoolean()) {
+            if (System.currentTimeMillis() > deadlineMillis) {
+                throw new AssertionError("Not reached within " + LIMIT_MILLIS + " ms: " + what);
+            }
+            Thread.sleep(2);
+        }
+    }
+}
--- /dev/null
+++ b/guavathread-router/src/test/java/org/guavathread/router/http/ScriptedPeer.java
@@ -0,0 +1,115 @@
+package org.guavathread.router.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.guavathread.core.sheet.SocketAddressText;
+
+/** A peer whose behaviour on the socket a test writes down byte by byte. */
+final class ScriptedPeer implements AutoCloseable {
+
+    /** What the peer does with one request; the connection is closed when it returns false. */
+    @FunctionalInterface
+    interface Script {
+        boolean answer(String head, OutputStream out, Socket socket) throws IOException;
+    }
+
+    private final ServerSocket server;
+    private final Script script;
+    private final List<String> heads = new CopyOnWriteArrayList<>();
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    private final AtomicInteger ended = new AtomicInteger();
+
+    ScriptedPeer(Script script) throws IOException {
+        this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this.script = script;
+        daemon(this::accept);
+    }
+
+    static boolean text(OutputStream out, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+        return true;
+    }
+
+    static boolean ok(OutputStream out, String body) throws IOException {
+        return text(out, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+    }
+
+    SocketAddressText address() {
+        return new SocketAddressText("127.0.0.1", server.getLocalPort());
+    }
+
+    /** Counts requests whose first line holds the text. */
+    long received(String text) {
+        return heads.stream().filter(head -> head.contains(text)).count();
+    }
+
+    int connections() {
+        return sockets.size();
+    }
+
+    /** Counts connections whose end the peer has seen. */
+    int endedConnections() {
+        return ended.get();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = server.accept();
+                sockets.add(socket);
+                daemon(() -> serve(socket));
+            }
+        } catch (IOException e) {
+            // The test has closed the peer.
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            String head = readHead(socket.getInputStream());
+            while (head != null && script.answer(head, socket.getOutputStream(), socket)) {
+                head = readHead(socket.getInputStream());
+            }
+        } catch (IOException e) {
+            // The client has closed the connection.
+        }
+        ended.incrementAndGet();
+    }
+
+    private String readHead(InputStream in) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        for (int next = in.read(); next >= 0; next = in.read()) {
+            head.write(next);
+            if (head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+                heads.add(head.toString(StandardCharsets.ISO_8859_1));
+                return heads.get(heads.size() - 1);
+            }
+        }
+        return null;
+    }
+
+    private static void daemon(Runnable task) {
+        Thread thread = new Thread(task, "scripted-peer");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+}
