Add the adapters to backend servers and the platform

Change: interfaces, value types and HTTP implementations for prefill and decode engines, plain services, the weight store, the configuration service and the host list. Answers about a request must carry its id; token streams must have no gap and no repetition. Credentials of the caller are not passed on. Header values outside of ISO 8859-1 are rejected, because one byte per character is written and a wider character could become a line break.

--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/backend/HttpDecodeEngine.java
@@ -0,0 +1,69 @@
+package org.guavathread.router.backend;
+
+import java.util.concurrent.CompletableFuture;
+
+import org.guavathread.core.id.RequestId;
+import org.guavathread.core.sheet.SocketAddressText;
+import org.guavathread.router.http.HttpCall;
+import org.guavathread.router.http.HttpClient;
+import org.guavathread.router.http.HttpRequest;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** A decode engine that speaks JSON and server-sent events over HTTP. */
+public final class HttpDecodeEngine extends HttpEngine implements DecodeEngine {
+
+    // 512 bytes a token leave room for the event around it; the answer's length is bounded by the requested tokens.
+    private static final long BYTES_PER_TOKEN = 512;
+    private static final long BYTES_PER_STREAM = 64 * 1024;
+
+    /**
+     * Creates an adapter.
+     *
+     * @param client the client
+     * @param address address of the engine
+     * @param self the host in whose name the adapter calls
+     */
+    public HttpDecodeEngine(HttpClient client, SocketAddressText address, Owner self) {
+        super(client, address, self);
+    }
+
+    @Override
+    public CompletableFuture<ReserveResult> reserve(RequestId requestId, int pieces, long deadlineMillis) {
+        ObjectNode body =
+                JsonFields.object().put("requestId", requestId.value()).put("pieces", pieces);
+        return calls().callFor(
+                        requestId,
+                        "reserve",
+                        post("/engine/reserve", body, deadlineMillis),
+                        answer -> answer.status() == 409 ? ReserveResult.NO_ROOM : ReserveResult.RESERVED,
+                        409);
+    }
+
+    @Override
+    public CompletableFuture<Void> importKv(
+            RequestId requestId, SocketAddressText from, String handle, long deadlineMillis) {
+        ObjectNode body = JsonFields.object()
+                .put("requestId", requestId.value())
+                .put("from", from.toString())
+                .put("handle", handle);
+        return calls().callFor(requestId, "import", post("/engine/import", body, deadlineMillis), answer -> null);
+    }
+
+    @Override
+    public TokenStream decode(DecodeRequest request, TokenListener listener) {
+        ObjectNode body = JsonFields.object()
+                .put("requestId", request.requestId().value())
+                .put("offset", request.offset())
+                .put("maxTokens", request.maxTokens());
+        HttpRequest post = post("/engine/decode", body, request.deadlineMillis())
+                .header(JsonCalls.REQUEST_ID, request.requestId().value())
+                .silenceMillis(request.silenceMillis())
+                .maxAnswerBytes(BYTES_PER_STREAM + BYTES_PER_TOKEN * request.maxTokens())
+                .build();
+        TokenReader reader = new TokenReader(calls().peer(), request, listener);
+        HttpCall call = calls().client().stream(calls().peer(), post, reader);
+        reader.onStarted(call);
+        return call::cancel;
+    }
+}
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/backend/HttpPlainService.java
@@ -0,0 +1,98 @@
+package org.guavathread.router.backend;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+import org.guavathread.core.sheet.SocketAddressText;
+import org.guavathread.router.http.HttpAnswer;
+import org.guavathread.router.http.HttpClient;
+import org.guavathread.router.http.HttpRequest;
+import org.guavathread.router.http.HttpStep;
+import org.guavathread.router.http.RequestNotSentException;
+
+/** A plain service over HTTP. */
+public final class HttpPlainService implements PlainService {
+
+    /** Headers of the caller that stay at this host: credentials, and those that belong to one connection. */
+    private static final Set<String> KEPT_BACK = Set.of(
+            "authorization",
+            "proxy-authorization",
+            "x-api-key",
+            "cookie",
+            "connection",
+            "keep-alive",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "host",
+            "content-length",
+            "expect",
+            "proxy-connection",
+            "accept-encoding",
+            "guavathread-request-id");
+
+    private static final Set<String> FRAMING =
+            Set.of("connection", "keep-alive", "transfer-encoding", "content-length");
+
+    private final HttpClient client;
+    private final SocketAddressText address;
+
+    /**
+     * Creates an adapter.
+     *
+     * @param client the client
+     * @param address address of the service
+     */
+    public HttpPlainService(HttpClient client, SocketAddressText address) {
+        this.client = client;
+        this.address = address;
+    }
+
+    @Override
+    public CompletableFuture<ServiceAnswer> call(ServiceCall call) {
+        HttpRequest request;
+        try {
+            request = requestOf(call);
+        } catch (IllegalArgumentException e) {
+            return CompletableFuture.failedFuture(
+                    new RequestNotSentException(HttpStep.POOL, address, "it cannot be written: " + e.getMessage(), e));
+        }
+        CompletableFuture<HttpAnswer> sent = client.send(address, request);
+        return JsonCalls.cancelling(sent, sent.thenCompose(answer -> answerOf(call, answer)));
+    }
+
+    private static HttpRequest requestOf(ServiceCall call) {
+        HttpRequest.Builder builder = HttpRequest.of(call.method(), call.path());
+        call.headers().forEach((name, value) -> {
+            if (!KEPT_BACK.contains(name.toLowerCase(Locale.ROOT))) {
+                builder.header(name, value);
+            }
+        });
+        builder.header(JsonCalls.REQUEST_ID, call.requestId().value())
+                .body(call.body())
+                .sendDeadlineMillis(call.sendDeadlineMillis())
+                .deadlineMillis(call.deadlineMillis());
+        return (call.repeatable() ? builder : builder.nonRepeatable()).build();
+    }
+
+    private CompletableFuture<ServiceAnswer> answerOf(ServiceCall call, HttpAnswer answer) {
+        try {
+            JsonCalls.checkRequestId(call.requestId(), answer.head());
+        } catch (IllegalArgumentException e) {
+            return CompletableFuture.failedFuture(
+                    new BackendAnswerException("call", address, answer.status(), e.getMessage(), e));
+        }
+        Map<String, List<String>> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        answer.head().headers().forEach((name, values) -> {
+            if (!FRAMING.contains(name.toLowerCase(Locale.ROOT))) {
+                headers.put(name, values);
+            }
+        });
+        return CompletableFuture.completedFuture(new ServiceAnswer(answer.status(), headers, answer.body()));
+    }
+}
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/backend/ListedHost.java
@@ -0,0 +1,13 @@
+package org.guavathread.router.backend;
+
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.sheet.SocketAddressText;
+
+/**
+ * An entry of the platform's host list.
+ *
+ * @param id the host
+ * @param leaving whether the platform takes the host away
+ * @param address address of the host
+ */
+public record ListedHost(HostId id, boolean leaving, SocketAddressText address) {}
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/backend/TokenReader.java
@@ -0,0 +1,122 @@
+package org.guavathread.router.backend;
+
+import java.nio.charset.StandardCharsets;
+
+import org.guavathread.core.sheet.SocketAddressText;
+import org.guavathread.router.http.HttpAnswerListener;
+import org.guavathread.router.http.HttpCall;
+import org.guavathread.router.http.HttpExchangeException;
+import org.guavathread.router.http.HttpHead;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Turns the events of a decode answer into tokens, and ends the stream at the first event that does not fit. */
+final class TokenReader implements HttpAnswerListener {
+
+    private final SocketAddressText peer;
+    private final DecodeRequest request;
+    private final TokenListener listener;
+    private final SseReader events = new SseReader();
+    private int nextIndex;
+    private int status;
+    private boolean ended;
+    private HttpCall call;
+    private boolean cancelWanted;
+
+    TokenReader(SocketAddressText peer, DecodeRequest request, TokenListener listener) {
+        this.peer = peer;
+        this.request = request;
+        this.listener = listener;
+        this.nextIndex = request.offset();
+    }
+
+    /** Takes the handle; the answer may have begun before. */
+    void onStarted(HttpCall started) {
+        boolean cancelNow;
+        synchronized (this) {
+            call = started;
+            cancelNow = cancelWanted;
+        }
+        if (cancelNow) {
+            started.cancel();
+        }
+    }
+
+    @Override
+    public void onHead(HttpHead head) {
+        status = head.status();
+        if (!head.isSuccess()) {
+            stop("the engine refused", null);
+            return;
+        }
+        try {
+            JsonCalls.checkRequestId(request.requestId(), head);
+        } catch (IllegalArgumentException e) {
+            stop(e.getMessage(), e);
+        }
+    }
+
+    @Override
+    public void onBytes(byte[] bytes) {
+        if (ended) {
+            return;
+        }
+        try {
+            for (String data : events.read(bytes)) {
+                onEvent(JsonFields.parse(data.getBytes(StandardCharsets.UTF_8)));
+            }
+        } catch (IllegalArgumentException | IllegalStateException e) {
+            stop(e.getMessage(), e);
+        }
+    }
+
+    private void onEvent(JsonNode event) {
+        if (ended) {
+            return;
+        }
+        if (event.path("done").asBoolean()) {
+            ended = true;
+            listener.onDone();
+            return;
+        }
+        int index = JsonFields.integer(event, "index");
+        if (index != nextIndex) {
+            throw new IllegalArgumentException("token " + index + " came where token " + nextIndex + " was due");
+        }
+        if (index >= request.maxTokens()) {
+            throw new IllegalArgumentException("more than " + request.maxTokens() + " tokens came");
+        }
+        String token = JsonFields.text(event, "token");
+        nextIndex++;
+        listener.onToken(index, token);
+    }
+
+    @Override
+    public void onDone() {
+        stop("the stream ended after " + (nextIndex - request.offset()) + " tokens without its last event", null);
+    }
+
+    @Override
+    public void onFailure(HttpExchangeException failure) {
+        if (!ended) {
+            ended = true;
+            listener.onFailure(failure);
+        }
+    }
+
+    private void stop(String reason, Throwable cause) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        listener.onFailure(new BackendAnswerException("decode", peer, status, reason, cause));
+        HttpCall toCancel;
+        synchronized (this) {
+            cancelWanted = true;
+            toCancel = call;
+        }
+        if (toCancel != null) {
+            toCancel.cancel();
+        }
+    }
+}
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/backend/WeightStore.java
@@ -0,0 +1,25 @@
+package org.guavathread.router.backend;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** The weight store, from which engines load models at a limited rate. */
+public interface WeightStore {
+
+    /**
+     * Reads the rate and the number of running reads.
+     *
+     * @param deadlineMillis time by which the answer must have come, in ms since the epoch
+     * @return the state
+     */
+    CompletableFuture<WeightStoreStatus> status(long deadlineMillis);
+
+    /**
+     * Reads the length of a set of weights.
+     *
+     * @param name name of the weights, for example {@code "resumidor-3"}
+     * @param deadlineMillis time by which the answer must have come, in ms since the epoch
+     * @return its length in bytes, or empty if the store has no such weights
+     */
+    CompletableFuture<Optional<Long>> size(String name, long deadlineMillis);
+}
--- a/guavathread-router/src/main/java/org/guavathread/router/http/HttpRequest.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/HttpRequest.java
@@ -152,9 +152,11 @@
                 throw new IllegalArgumentException(
                         "The header \"" + name + "\" cannot be set; use another name than " + OWN_HEADERS + ".");
             }
-            if (value.chars().anyMatch(c -> c < ' ' && c != '\t' || c == 127)) {
-                throw new IllegalArgumentException(
-                        "The value of header " + name + " holds a control character; remove it.");
+            // Headers are written as one byte a character: a wider character would turn into another one, even a
+            // line break.
+            if (value.chars().anyMatch(c -> c < ' ' && c != '\t' || c == 127 || c > 255)) {
+                throw new IllegalArgumentException("The value of header " + name
+                        + " holds a control character or one outside of ISO 8859-1; remove it.");
             }
             headers.put(name, value);
             return this;
--- a/guavathread-router/src/test/java/org/guavathread/router/http/HttpClientTest.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/http/HttpClientTest.java
@@ -243,6 +243,7 @@
     void requestsThatCouldBreakTheMessageAreRejected() {
         assertThrows(IllegalArgumentException.class, () -> HttpRequest.get("/a b"));
         assertThrows(IllegalArgumentException.class, () -> HttpRequest.get("/").header("X", "a\r\nY: b"));
+        assertThrows(IllegalArgumentException.class, () -> HttpRequest.get("/").header("X", "a\u010aY: b"));
         assertThrows(IllegalArgumentException.class, () -> HttpRequest.get("/").header("Content-Length", "3"));
     }
 
