--- a/guavathread-core/src/main/java/org/guavathread/core/orphan/OrphanSweep.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/orphan/OrphanSweep.java
@@ -147,7 +147,14 @@
         return known != null && known.isAfter(each.incarnation());
     }
 
-    private boolean isLost(HostId host, long nowMillis) {
+    /**
+     * Tells whether a host has been silent for so long that its requests are cancelled.
+     *
+     * @param host the host
+     * @param nowMillis the current time
+     * @return true after 5 s of suspicion
+     */
+    public boolean isLost(HostId host, long nowMillis) {
         Long since = suspectSince.get(host);
         return since != null && nowMillis - since >= SUSPECT_MILLIS;
     }
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/ServiceChoice.java
@@ -0,0 +1,85 @@
+package org.guavathread.core.placement;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.guavathread.core.id.BackendServerId;
+import org.guavathread.core.id.DataCentreId;
+import org.guavathread.core.sheet.BackendServer;
+
+/**
+ * Picks the plain service for a call: one that did not fail lately, with the fewest calls of this host, nearest first.
+ *
+ * <pre>{@code
+ * Optional<BackendServer> server = choice.choose(candidates, Set.of(), now);
+ * choice.started(server.get().id());
+ * }</pre>
+ */
+public final class ServiceChoice {
+
+    /** A service that failed is tried last for this long; it may be restarting. */
+    private static final long AVOID_AFTER_FAILURE_MILLIS = 2_000;
+
+    private final DataCentreId dataCentre;
+    private final Map<BackendServerId, Integer> running = new HashMap<>();
+    private final Map<BackendServerId, Long> avoidUntilMillis = new HashMap<>();
+
+    /**
+     * Starts without history.
+     *
+     * @param dataCentre where this host stands
+     */
+    public ServiceChoice(DataCentreId dataCentre) {
+        this.dataCentre = dataCentre;
+    }
+
+    /**
+     * Picks a service.
+     *
+     * @param candidates the services of the route
+     * @param tried services that this request was sent to before
+     * @param nowMillis the current time
+     * @return the service, or empty if none that is active is left
+     */
+    public Optional<BackendServer> choose(
+            List<BackendServer> candidates, Set<BackendServerId> tried, long nowMillis) {
+        Comparator<BackendServer> byFailure =
+                Comparator.comparing(s -> avoidUntilMillis.getOrDefault(s.id(), 0L) > nowMillis);
+        return candidates.stream()
+                .filter(BackendServer::isActive)
+                .filter(s -> !tried.contains(s.id()))
+                .min(byFailure
+                        .thenComparing(s -> running.getOrDefault(s.id(), 0))
+                        .thenComparing(s -> !s.dataCentre().equals(dataCentre))
+                        .thenComparing(BackendServer::id));
+    }
+
+    /**
+     * Notes that a call was sent.
+     *
+     * @param server the service
+     */
+    public void started(BackendServerId server) {
+        running.merge(server, 1, Integer::sum);
+    }
+
+    /**
+     * Notes the end of a call.
+     *
+     * @param server the service
+     * @param failed whether the service broke off or did not answer
+     * @param nowMillis the current time
+     */
+    public void ended(BackendServerId server, boolean failed, long nowMillis) {
+        running.computeIfPresent(server, (id, calls) -> calls > 1 ? calls - 1 : null);
+        if (failed) {
+            avoidUntilMillis.put(server, nowMillis + AVOID_AFTER_FAILURE_MILLIS);
+        } else {
+            avoidUntilMillis.remove(server);
+        }
+    }
+}
--- a/guavathread-router/src/main/java/org/guavathread/router/backend/Engine.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/backend/Engine.java
@@ -27,6 +27,14 @@
      */
     CompletableFuture<List<EngineRequest>> list(HostId host, long deadlineMillis);
 
+    /**
+     * Lists the requests of all hosts.
+     *
+     * @param deadlineMillis time by which the answer must have come, in ms since the epoch
+     * @return the requests
+     */
+    CompletableFuture<List<EngineRequest>> listAll(long deadlineMillis);
+
     /**
      * Reads the load report.
      *
--- a/guavathread-router/src/main/java/org/guavathread/router/backend/HttpEngine.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/backend/HttpEngine.java
@@ -63,9 +63,19 @@
 
     @Override
     public CompletableFuture<List<EngineRequest>> list(HostId host, long deadlineMillis) {
-        HttpRequest.Builder request = get("/engine/requests?host=" + encoded(host.value()), deadlineMillis);
+        return list("/engine/requests?host=" + encoded(host.value()), deadlineMillis);
+    }
+
+    @Override
+    public CompletableFuture<List<EngineRequest>> listAll(long deadlineMillis) {
+        return list("/engine/requests", deadlineMillis);
+    }
+
+    private CompletableFuture<List<EngineRequest>> list(String path, long deadlineMillis) {
         return calls.call(
-                "list", request, answer -> JsonFields.list(JsonFields.parse(answer.body()), HttpEngine::engineRequest));
+                "list",
+                get(path, deadlineMillis),
+                answer -> JsonFields.list(JsonFields.parse(answer.body()), HttpEngine::engineRequest));
     }
 
     private static EngineRequest engineRequest(JsonNode node) {
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/fleet/FleetState.java
@@ -0,0 +1,107 @@
+package org.guavathread.router.fleet;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.id.Incarnation;
+import org.guavathread.core.key.KeyRing;
+import org.guavathread.core.membership.EpochView;
+import org.guavathread.core.sheet.Host;
+import org.guavathread.core.sheet.Sheet;
+import org.guavathread.core.sheet.SocketAddressText;
+import org.guavathread.router.peer.PeerDirectory;
+
+/**
+ * Holds the newest snapshot of the fleet. Written by the membership duty alone, read from any thread.
+ *
+ * <pre>{@code
+ * fleet.onSheet(() -> limits.sheetChanged());
+ * Sheet sheet = fleet.now().sheet();
+ * }</pre>
+ */
+public final class FleetState implements PeerDirectory {
+
+    private volatile FleetSnapshot snapshot = FleetSnapshot.empty();
+    private volatile List<Host> bootstrapHosts = List.of();
+    private final List<Runnable> sheetListeners = new CopyOnWriteArrayList<>();
+
+    /**
+     * Gives the newest snapshot.
+     *
+     * @return the snapshot
+     */
+    public FleetSnapshot now() {
+        return snapshot;
+    }
+
+    /**
+     * Registers what runs after each change of the sheet, on the thread that changes it.
+     *
+     * @param listener must return soon
+     */
+    public void onSheet(Runnable listener) {
+        sheetListeners.add(listener);
+    }
+
+    /**
+     * Puts a sheet and the epochs that belong to it in force.
+     *
+     * @param sheet the sheet
+     * @param epochs the epochs
+     */
+    public synchronized void sheetAccepted(Sheet sheet, EpochView epochs) {
+        FleetSnapshot before = snapshot;
+        snapshot = new FleetSnapshot(
+                sheet, KeyRing.of(sheet), epochs, before.suspect(), before.draining(), before.incarnations());
+        sheetListeners.forEach(Runnable::run);
+    }
+
+    /**
+     * Takes in what the membership duty found.
+     *
+     * @param epochs the epochs and this host's rights
+     * @param suspect hosts that do not answer
+     * @param draining hosts that are shutting down
+     * @param incarnations the newest known run of each host that answered
+     */
+    public synchronized void membershipChanged(
+            EpochView epochs, Set<HostId> suspect, Set<HostId> draining, Map<HostId, Incarnation> incarnations) {
+        snapshot =
+                new FleetSnapshot(snapshot.sheet(), snapshot.keys(), epochs, suspect, draining, incarnations);
+    }
+
+    /**
+     * Sets where to find hosts while there is no sheet.
+     *
+     * @param hosts hosts of the platform's host list
+     */
+    public void bootstrapHosts(List<Host> hosts) {
+        bootstrapHosts = List.copyOf(hosts);
+    }
+
+    @Override
+    public Optional<SocketAddressText> addressOf(HostId host) {
+        FleetSnapshot current = snapshot;
+        if (current.hasSheet()) {
+            return Optional.ofNullable(current.sheet().hosts().get(host)).map(Host::peers);
+        }
+        return bootstrapHosts.stream()
+                .filter(h -> h.id().equals(host))
+                .map(Host::peers)
+                .findFirst();
+    }
+
+    @Override
+    public boolean accepts(HostId host, String ip) {
+        FleetSnapshot current = snapshot;
+        if (!current.hasSheet()) {
+            return true;
+        }
+        Host listed = current.sheet().hosts().get(host);
+        return listed != null && listed.peers().ip().equals(ip);
+    }
+}
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/ActiveRequests.java
@@ -0,0 +1,143 @@
+package org.guavathread.router.flow;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.guavathread.core.id.RequestId;
+import org.guavathread.core.key.KeyRing;
+import org.guavathread.core.key.KeyedWork;
+import org.guavathread.core.request.Refusal;
+import org.guavathread.core.request.RefusalCode;
+import org.guavathread.core.time.Clock;
+import org.guavathread.router.metrics.RouterMetrics;
+import org.guavathread.router.metrics.WorkspaceUsage;
+
+/** The requests that this host has accepted and not ended yet, and how to end each of them. Thread-safe. */
+public final class ActiveRequests {
+
+    private record Entry(RequestContext context, Runnable cancel) {}
+
+    private final Map<RequestId, Entry> entries = new ConcurrentHashMap<>();
+    private final KeyedWork keyedWork;
+    private final RouterMetrics metrics;
+    private final WorkspaceUsage usage;
+    private final RequestTraces traces;
+    private final Clock clock;
+
+    /**
+     * Starts without requests.
+     *
+     * @param keys the API keys of the sheet in force
+     * @param metrics counts outcomes
+     * @param usage counts what each workspace got
+     * @param clock source of the time
+     */
+    public ActiveRequests(KeyRing keys, RouterMetrics metrics, WorkspaceUsage usage, Clock clock) {
+        this.keyedWork = new KeyedWork(keys);
+        this.metrics = metrics;
+        this.usage = usage;
+        this.traces = new RequestTraces(clock);
+        this.clock = clock;
+    }
+
+    public RequestTraces traces() {
+        return traces;
+    }
+
+    /**
+     * Counts the running requests.
+     *
+     * @return requests that were accepted and have not ended
+     */
+    public int count() {
+        return entries.size();
+    }
+
+    /**
+     * Puts the API keys of a newer sheet in force and ends the requests whose key it withdraws.
+     *
+     * @param keys the API keys
+     */
+    public void keysChanged(KeyRing keys) {
+        synchronized (keyedWork) {
+            keyedWork.onSheet(keys, clock.nowMillis()).forEach(this::endForKey);
+        }
+    }
+
+    /**
+     * Ends once more what was to end and has not.
+     *
+     * @param nowMillis the current time
+     */
+    public void repeatEndings(long nowMillis) {
+        synchronized (keyedWork) {
+            keyedWork.onWake(nowMillis).forEach(this::endForKey);
+        }
+    }
+
+    /** Cancels all requests, at the drain deadline. */
+    public void cancelAll() {
+        entries.values().forEach(e -> {
+            e.cancel().run();
+            e.context().refuse(Refusal.notRun(
+                    RefusalCode.DRAINING, "This host shuts down before the request could end; use another host."));
+        });
+    }
+
+    /**
+     * Registers a request.
+     *
+     * @param context the request
+     * @param cancel ends its work; may run more than once
+     * @return false if its API key was withdrawn in the meantime
+     */
+    boolean begin(RequestContext context, Runnable cancel) {
+        if (context.owner().isPresent()) {
+            synchronized (keyedWork) {
+                if (!keyedWork.begin(context.id(), context.owner().get())) {
+                    return false;
+                }
+            }
+        }
+        entries.put(context.id(), new Entry(context, cancel));
+        return true;
+    }
+
+    void answered(RequestContext context) {
+        end(context, "answered");
+    }
+
+    void dropped(RequestContext context) {
+        end(context, "dropped");
+    }
+
+    void refused(RequestContext context, Refusal refusal) {
+        metrics.countRefusal(refusal);
+        if (context.isCharged()) {
+            usage.refused(context.workspace(), refusal.code() == RefusalCode.RATE_LIMITED);
+        }
+        end(context, "refused");
+    }
+
+    private void end(RequestContext context, String outcome) {
+        boolean first = entries.remove(context.id()) != null;
+        if (first) {
+            metrics.countRequest(context.route(), outcome);
+        }
+        synchronized (keyedWork) {
+            keyedWork.end(context.id());
+        }
+    }
+
+    private void endForKey(KeyedWork.EndWork order) {
+        Entry entry = entries.get(order.request());
+        if (entry == null) {
+            keyedWork.end(order.request());
+            return;
+        }
+        entry.cancel().run();
+        entry.context()
+                .refuse(Refusal.notRun(
+                        RefusalCode.KEY_UNKNOWN, "The API key was withdrawn while the request ran; use another key."));
+    }
+}
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/RefusedException.java
@@ -0,0 +1,25 @@
+package org.guavathread.router.flow;
+
+import org.guavathread.core.request.Refusal;
+
+/** A step of a request ended in a refusal. */
+public class RefusedException extends RuntimeException {
+
+    private static final long serialVersionUID = 1L;
+
+    private final transient Refusal refusal;
+
+    /**
+     * Builds the exception.
+     *
+     * @param refusal what to tell the caller
+     */
+    public RefusedException(Refusal refusal) {
+        super(refusal.code() + ": " + refusal.message(), null, false, false);
+        this.refusal = refusal;
+    }
+
+    public Refusal refusal() {
+        return refusal;
+    }
+}
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/package-info.java
@@ -0,0 +1,2 @@
+/** What happens to one request of a caller, step by step. */
+package org.guavathread.router.flow;
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/service/PeerRouter.java
@@ -0,0 +1,63 @@
+package org.guavathread.router.service;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.message.PeerMessage;
+import org.guavathread.router.peer.PeerHandler;
+import org.tinylog.Logger;
+
+/**
+ * Passes each message of another host to the duty that handles its type.
+ *
+ * <pre>{@code
+ * router.on(BudgetTake.class, (from, take, reply) -> limits.take(from, take, reply));
+ * }</pre>
+ */
+public final class PeerRouter implements PeerHandler {
+
+    /**
+     * Handles one type of message.
+     *
+     * @param <M> the type
+     */
+    @FunctionalInterface
+    public interface Route<M extends PeerMessage> {
+
+        /**
+         * Takes a message; must hand over and return.
+         *
+         * @param from the sender
+         * @param message the message
+         * @param reply sends the answer
+         */
+        void handle(HostId from, M message, Consumer<PeerMessage> reply);
+    }
+
+    private final Map<Class<?>, PeerHandler> routes = new ConcurrentHashMap<>();
+
+    /**
+     * Sets what handles a type.
+     *
+     * @param type the type
+     * @param route what handles it
+     * @param <M> the type
+     * @return this router
+     */
+    public <M extends PeerMessage> PeerRouter on(Class<M> type, Route<M> route) {
+        routes.put(type, (from, message, reply) -> route.handle(from, type.cast(message), reply));
+        return this;
+    }
+
+    @Override
+    public void handle(HostId from, PeerMessage message, Consumer<PeerMessage> reply) {
+        PeerHandler route = routes.get(message.getClass());
+        if (route == null) {
+            Logger.warn("Host {} sent {}, which nothing here handles.", from, message.getClass().getSimpleName());
+            return;
+        }
+        route.handle(from, message, reply);
+    }
+}
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/service/PlacementService.java
@@ -0,0 +1,451 @@
+package org.guavathread.router.service;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+import org.guavathread.core.id.BackendServerId;
+import org.guavathread.core.id.DataCentreId;
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.id.Incarnation;
+import org.guavathread.core.id.ModelId;
+import org.guavathread.core.id.RegionId;
+import org.guavathread.core.id.RequestId;
+import org.guavathread.core.message.PeerMessage;
+import org.guavathread.core.orphan.ReservationTable;
+import org.guavathread.core.placement.Cell;
+import org.guavathread.core.placement.CellChoice;
+import org.guavathread.core.placement.CellId;
+import org.guavathread.core.placement.Grant;
+import org.guavathread.core.placement.PlacePrefillDone;
+import org.guavathread.core.placement.PlaceRelease;
+import org.guavathread.core.placement.PlaceRenew;
+import org.guavathread.core.placement.PlaceReply;
+import org.guavathread.core.placement.PlaceRequest;
+import org.guavathread.core.request.Refusal;
+import org.guavathread.core.request.RefusalCode;
+import org.guavathread.core.sheet.DataCentre;
+import org.guavathread.core.sheet.Sheet;
+import org.guavathread.core.time.Clock;
+import org.guavathread.router.backend.BackendRegistry;
+import org.guavathread.router.fleet.FleetSnapshot;
+import org.guavathread.router.fleet.FleetState;
+import org.guavathread.router.flow.RefusedException;
+import org.guavathread.router.peer.PeerNetwork;
+import org.guavathread.router.supervisor.Duty;
+import org.guavathread.router.supervisor.InboxFullException;
+import org.guavathread.router.supervisor.Supervisor;
+
+/**
+ * Duty {@code placement}: asks cell owners for engines, and answers for the cells that this host owns.
+ *
+ * <pre>{@code
+ * placement.place(order).thenAccept(grant -> prefill(grant));
+ * placement.release(requestId, PlaceRelease.Ending.FINISHED, tokens);
+ * }</pre>
+ */
+public final class PlacementService {
+
+    private static final long TICK_MILLIS = 100;
+    private static final long RESEND_MILLIS = 500;
+    private static final long RENEW_MILLIS = 1_000;
+    private static final long FOLLOW_FLEET_MILLIS = 500;
+
+    private final HostId self;
+    private final Incarnation incarnation;
+    private final DataCentreId dataCentre;
+    private final FleetState fleet;
+    private final PeerNetwork network;
+    private final Clock clock;
+    private final EngineMonitor monitor;
+    private final Duty<State> duty;
+
+    /**
+     * What a request needs, before its cell is chosen.
+     *
+     * @param model the model
+     * @param template the message to the cell owner, with any cell in it
+     */
+    public record Order(ModelId model, PlaceRequest template) {}
+
+    private static final class Waiting {
+        private final PlaceRequest request;
+        private final CompletableFuture<Grant> grant;
+        private long resendAtMillis;
+
+        Waiting(PlaceRequest request, CompletableFuture<Grant> grant) {
+            this.request = request;
+            this.grant = grant;
+        }
+    }
+
+    /** State of the duty. */
+    final class State {
+        private final CellOwner owner = new CellOwner(this::reply, monitor::cancel);
+        private final ReservationTable reservations = new ReservationTable(self, incarnation);
+        private final CellChoice choice = new CellChoice();
+        private final Map<RequestId, Waiting> waiting = new HashMap<>();
+        private final Map<RequestId, CellId> cellsByRequest = new HashMap<>();
+        private final Map<ModelId, List<CellId>> cellsByModel = new HashMap<>();
+        private Sheet cellsOfSheet;
+        private long followAtMillis;
+        private long renewAtMillis;
+
+        CellOwner owner() {
+            return owner;
+        }
+
+        ReservationTable reservations() {
+            return reservations;
+        }
+
+        private void reply(HostId to, PlaceReply reply) {
+            if (to.equals(self)) {
+                replied(this, reply);
+            } else {
+                network.send(to, reply);
+            }
+        }
+    }
+
+    /**
+     * Builds the duty and adds it to a supervisor.
+     *
+     * @param self this host
+     * @param incarnation the run of this process
+     * @param dataCentre where this host stands
+     * @param fleet what is known about the fleet
+     * @param network the way to other hosts
+     * @param backends the adapters of engines
+     * @param supervisor the supervisor
+     * @param clock source of the time
+     */
+    public PlacementService(
+            HostId self,
+            Incarnation incarnation,
+            DataCentreId dataCentre,
+            FleetState fleet,
+            PeerNetwork network,
+            BackendRegistry backends,
+            Supervisor supervisor,
+            Clock clock) {
+        this.self = self;
+        this.incarnation = incarnation;
+        this.dataCentre = dataCentre;
+        this.fleet = fleet;
+        this.network = network;
+        this.clock = clock;
+        this.monitor = new EngineMonitor(self, incarnation, backends, clock, this::onDuty);
+        this.duty = supervisor.add(new Duty<>("placement", State::new, supervisor, clock)
+                .every(TICK_MILLIS, this::tick)
+                .wakingAt(state -> state.owner.nextWakeAtMillis()));
+        fleet.onSheet(() -> duty.offer(state -> state.followAtMillis = 0));
+    }
+
+    /**
+     * Registers the messages of this duty.
+     *
+     * @param router passes messages on
+     */
+    public void register(PeerRouter router) {
+        router.on(PlaceRequest.class, (from, m, r) -> duty.offer(s -> s.owner.requestArrived(m, clock.nowMillis())));
+        router.on(PlaceRelease.class, (from, m, r) -> duty.offer(s -> s.owner.released(m, clock.nowMillis())));
+        router.on(PlacePrefillDone.class, (from, m, r) -> duty.offer(s -> s.owner.prefillEnded(m, clock.nowMillis())));
+        router.on(PlaceRenew.class, (from, m, r) -> duty.offer(s -> s.owner.renewed(m, clock.nowMillis())));
+        router.on(PlaceReply.class, (from, m, r) -> duty.offer(s -> replied(s, m)));
+    }
+
+    /**
+     * Asks for engines and decode room.
+     *
+     * @param order the request
+     * @return the grant; fails with {@link RefusedException} or {@link InboxFullException}
+     */
+    public CompletableFuture<Grant> place(Order order) {
+        CompletableFuture<Grant> grant = new CompletableFuture<>();
+        if (!duty.offer(state -> place(state, order, grant))) {
+            grant.completeExceptionally(new InboxFullException("placement", Duty.INBOX_CAPACITY));
+        }
+        return grant;
+    }
+
+    /**
+     * Reports the end of a prefill.
+     *
+     * @param request the request
+     * @param cachedTokens prompt tokens found in the prefix cache
+     * @param serviceMillis how long the engine computed, in milliseconds
+     */
+    public void prefillDone(RequestId request, int cachedTokens, int serviceMillis) {
+        duty.offer(state -> toOwner(
+                state, state.cellsByRequest.get(request), new PlacePrefillDone(request, cachedTokens, serviceMillis)));
+    }
+
+    /**
+     * Reports that the KV cache has left the prefill engine.
+     *
+     * @param request the request
+     */
+    public void imported(RequestId request) {
+        duty.offer(state -> state.reservations.prefillEnded(request));
+    }
+
+    /**
+     * Reports how far a stream is, for the renewal of its reservation.
+     *
+     * @param request the request
+     * @param outputTokens tokens generated under the present grant
+     */
+    public void progressed(RequestId request, int outputTokens) {
+        duty.offer(state -> state.reservations.progressed(request, outputTokens));
+    }
+
+    /**
+     * Gives up a queued request or a reservation.
+     *
+     * @param request the request
+     * @param ending why
+     * @param outputTokens how many tokens were generated
+     */
+    public void release(RequestId request, PlaceRelease.Ending ending, int outputTokens) {
+        duty.offer(state -> {
+            state.waiting.remove(request);
+            state.reservations.ended(request);
+            CellId cell = state.cellsByRequest.remove(request);
+            toOwner(state, cell, new PlaceRelease(request, ending, outputTokens));
+        });
+    }
+
+    /**
+     * Cancels a request on an engine, without waiting for the result.
+     *
+     * @param engine the engine
+     * @param request the request
+     */
+    public void cancelOnEngine(BackendServerId engine, RequestId request) {
+        monitor.cancel(engine, request);
+    }
+
+    /**
+     * Reads figures of the duty for status and metrics.
+     *
+     * @return the figures
+     */
+    public CompletableFuture<Figures> figures() {
+        return duty.ask(state -> new Figures(
+                state.owner.cellCount(),
+                state.owner.queuedRequests(),
+                state.owner.openReservations(),
+                state.reservations.size(),
+                state.waiting.size(),
+                monitor.rows(state)));
+    }
+
+    /**
+     * Figures of this duty.
+     *
+     * @param ownedCells cells owned by this host
+     * @param queued requests that wait in them
+     * @param reservations reservations in them
+     * @param own reservations of this host's requests, in any cell
+     * @param asking requests of this host that wait for a grant
+     * @param engines what is known of the engines of owned cells
+     */
+    public record Figures(
+            int ownedCells, int queued, int reservations, int own, int asking, List<EngineMonitor.Row> engines) {}
+
+    /**
+     * Gives how many tasks wait for this duty.
+     *
+     * @return the backlog of its inbox
+     */
+    public int backlog() {
+        return duty.backlog();
+    }
+
+    /**
+     * Gives how many engine requests were cancelled because nobody waited for them.
+     *
+     * @return the number since the start
+     */
+    public long orphansCancelled() {
+        return monitor.orphansCancelled();
+    }
+
+    private boolean onDuty(Consumer<State> task) {
+        return duty.offer(task);
+    }
+
+    private void place(State state, Order order, CompletableFuture<Grant> grant) {
+        followCells(state);
+        PlaceRequest template = order.template();
+        List<CellId> cells = state.cellsByModel.getOrDefault(order.model(), List.of());
+        if (cells.isEmpty()) {
+            grant.completeExceptionally(new RefusedException(Refusal.notRun(
+                    RefusalCode.NO_ROOM, "No engine in the sheet serves model " + order.model() + "; add one.")));
+            return;
+        }
+        CellId cell = state.choice.choose(
+                cells, template.request().value(), template.prefixHashes(), clock.nowMillis());
+        Waiting entry = new Waiting(inCell(template, cell), grant);
+        state.waiting.put(template.request(), entry);
+        state.cellsByRequest.put(template.request(), cell);
+        ask(state, entry);
+    }
+
+    private PlaceRequest inCell(PlaceRequest t, CellId cell) {
+        return new PlaceRequest(
+                t.request(),
+                self,
+                incarnation,
+                cell,
+                t.workspace(),
+                t.kind(),
+                t.promptTokens(),
+                t.maxOutputTokens(),
+                t.prefixHashes(),
+                t.targetAtMillis(),
+                t.deadlineMillis());
+    }
+
+    private void ask(State state, Waiting entry) {
+        entry.resendAtMillis = clock.nowMillis() + RESEND_MILLIS;
+        toOwner(state, entry.request.cell(), entry.request);
+    }
+
+    private void toOwner(State state, CellId cell, PeerMessage message) {
+        if (cell == null) {
+            return;
+        }
+        Optional<HostId> owner = ownerOf(cell);
+        if (owner.isEmpty()) {
+            return;
+        }
+        if (!owner.get().equals(self)) {
+            network.send(owner.get(), message);
+            return;
+        }
+        long now = clock.nowMillis();
+        if (message instanceof PlaceRequest request) {
+            state.owner.requestArrived(request, now);
+        } else if (message instanceof PlaceRelease release) {
+            state.owner.released(release, now);
+        } else if (message instanceof PlacePrefillDone done) {
+            state.owner.prefillEnded(done, now);
+        } else if (message instanceof PlaceRenew renew) {
+            state.owner.renewed(renew, now);
+        }
+    }
+
+    private Optional<HostId> ownerOf(CellId cell) {
+        FleetSnapshot now = fleet.now();
+        return CellChoice.owner(cell, now.epochs().current(), now.sheet(), h -> h.equals(self) || now.isLive(h));
+    }
+
+    private void replied(State state, PlaceReply reply) {
+        CellId cell = state.cellsByRequest.get(reply.request());
+        if (cell != null) {
+            state.choice.waitReported(cell, reply.waitMillis(), clock.nowMillis());
+        }
+        Waiting entry = state.waiting.remove(reply.request());
+        if (entry == null) {
+            if (reply.grant().isPresent() && !state.cellsByRequest.containsKey(reply.request())) {
+                // The request ended while its grant was on the way; the release may have overtaken the grant.
+                ownerOfUnknown(state, reply);
+            }
+            return;
+        }
+        if (reply.grant().isPresent()) {
+            Grant grant = reply.grant().get();
+            state.reservations.granted(entry.request, grant);
+            monitor.used(grant, clock.nowMillis());
+            entry.grant.complete(grant);
+            return;
+        }
+        state.cellsByRequest.remove(reply.request());
+        Refusal refusal = reply.refusal()
+                .orElseGet(() -> Refusal.notRun(RefusalCode.NO_ROOM, "The cell owner gave no reason; try again."));
+        entry.grant.completeExceptionally(new RefusedException(refusal));
+    }
+
+    private void ownerOfUnknown(State state, PlaceReply reply) {
+        PlaceRelease release = new PlaceRelease(reply.request(), PlaceRelease.Ending.CANCELLED, 0);
+        state.cellsByModel.values().forEach(cells -> cells.forEach(cell -> toOwner(state, cell, release)));
+    }
+
+    private void tick(State state, long nowMillis) {
+        if (nowMillis >= state.followAtMillis) {
+            state.followAtMillis = nowMillis + FOLLOW_FLEET_MILLIS;
+            followCells(state);
+            followOwnership(state, nowMillis);
+        }
+        state.owner.timer(nowMillis);
+        for (Waiting entry : List.copyOf(state.waiting.values())) {
+            if (nowMillis >= entry.resendAtMillis) {
+                ask(state, entry);
+            }
+        }
+        if (nowMillis >= state.renewAtMillis) {
+            state.renewAtMillis = nowMillis + RENEW_MILLIS;
+            state.reservations.renewals().forEach(renew -> toOwner(state, renew.cell(), renew));
+        }
+        monitor.tick(state, fleet.now(), nowMillis);
+    }
+
+    /** Splits the engines into cells once for each sheet, because the split ranks all engines. */
+    private void followCells(State state) {
+        Sheet sheet = fleet.now().sheet();
+        if (sheet == state.cellsOfSheet) {
+            return;
+        }
+        state.cellsOfSheet = sheet;
+        state.cellsByModel.clear();
+        for (ModelId model : sheet.models().keySet()) {
+            state.cellsByModel.put(model, cellsNearby(sheet, model));
+        }
+        state.choice.retain(state.cellsByModel.values().stream().flatMap(List::stream).toList());
+    }
+
+    private List<CellId> cellsNearby(Sheet sheet, ModelId model) {
+        Optional<RegionId> home = sheet.regionOf(dataCentre);
+        List<CellId> own = home.map(r -> idsOf(CellChoice.cells(sheet, model, r))).orElse(List.of());
+        if (!own.isEmpty()) {
+            return own;
+        }
+        return regionsOf(sheet).stream()
+                .map(r -> idsOf(CellChoice.cells(sheet, model, r)))
+                .filter(ids -> !ids.isEmpty())
+                .findFirst()
+                .orElse(List.of());
+    }
+
+    private static List<CellId> idsOf(List<Cell> cells) {
+        return cells.stream().map(Cell::id).toList();
+    }
+
+    private static List<RegionId> regionsOf(Sheet sheet) {
+        return sheet.dataCentres().values().stream()
+                .map(DataCentre::region)
+                .distinct()
+                .sorted()
+                .toList();
+    }
+
+    private void followOwnership(State state, long nowMillis) {
+        Sheet sheet = fleet.now().sheet();
+        List<Cell> owned = new java.util.ArrayList<>();
+        for (ModelId model : sheet.models().keySet()) {
+            for (RegionId region : regionsOf(sheet)) {
+                for (Cell cell : CellChoice.cells(sheet, model, region)) {
+                    if (ownerOf(cell.id()).filter(self::equals).isPresent()) {
+                        owned.add(cell);
+                    }
+                }
+            }
+        }
+        state.owner.ownedCells(owned, sheet, nowMillis);
+    }
+}
--- a/guavathread-router/src/main/java/org/guavathread/router/supervisor/Duty.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/supervisor/Duty.java
@@ -6,6 +6,7 @@
 import java.util.function.Function;
 import java.util.function.ObjLongConsumer;
 import java.util.function.Supplier;
+import java.util.function.ToLongFunction;
 
 import org.guavathread.core.time.Clock;
 import org.jctools.queues.MpscBlockingConsumerArrayQueue;
@@ -36,6 +37,7 @@
             new MpscBlockingConsumerArrayQueue<>(INBOX_CAPACITY);
     private long tickEveryMillis = 1_000;
     private ObjLongConsumer<S> onTick = (state, now) -> {};
+    private ToLongFunction<S> wakeAt = state -> Long.MAX_VALUE;
     private volatile boolean running;
     private Thread thread;
 
@@ -67,6 +69,17 @@
         return this;
     }
 
+    /**
+     * Sets when the action of {@link #every} must run at the latest, between its regular times.
+     *
+     * @param millisOf reads the time from the state, in milliseconds since the epoch; asked after every task
+     * @return this duty
+     */
+    public Duty<S> wakingAt(ToLongFunction<S> millisOf) {
+        wakeAt = millisOf;
+        return this;
+    }
+
     /**
      * Hands over a task.
      *
@@ -151,11 +164,12 @@
         long tickAtMillis = clock.nowMillis() + tickEveryMillis;
         while (running) {
             long now = clock.nowMillis();
-            if (now >= tickAtMillis) {
+            if (now >= tickAtMillis || now >= wakeAt.applyAsLong(state)) {
                 onTick.accept(state, now);
                 tickAtMillis = now + tickEveryMillis;
             }
-            Consumer<S> task = inbox.poll(Math.max(1, tickAtMillis - now), TimeUnit.MILLISECONDS);
+            long untilMillis = Math.min(tickAtMillis, wakeAt.applyAsLong(state));
+            Consumer<S> task = inbox.poll(Math.max(1, untilMillis - now), TimeUnit.MILLISECONDS);
             if (task != null) {
                 task.accept(state);
             }
