Add workspace limits shared by home hosts

Cause: a workspace's rate and burst hold over all hosts together, without shared state and with hosts that fail, pause and learn of sheets late.

Wrongful refusals were not measured yet.

--- /dev/null
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/limits/EventQueue.java
@@ -0,0 +1,36 @@
+package org.guavathread.bench.limits;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** A virtual clock: runs events in the order of their times, events of the same time in the order of their adding. */
+final class EventQueue {
+
+    private record Event(long atMillis, long number, Runnable run) {}
+
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::number));
+    private long nowMillis;
+    private long lastNumber;
+
+    EventQueue(long startMillis) {
+        nowMillis = startMillis;
+    }
+
+    long nowMillis() {
+        return nowMillis;
+    }
+
+    void at(long atMillis, Runnable run) {
+        events.add(new Event(Math.max(atMillis, nowMillis), ++lastNumber, run));
+    }
+
+    void runUntil(long endMillis) {
+        while (!events.isEmpty() && events.peek().atMillis <= endMillis) {
+            Event next = events.poll();
+            nowMillis = next.atMillis;
+            next.run.run();
+        }
+        nowMillis = endMillis;
+    }
+}
--- /dev/null
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/limits/Workload.java
@@ -0,0 +1,110 @@
+package org.guavathread.bench.limits;
+
+import java.util.SplittableRandom;
+import java.util.function.IntUnaryOperator;
+import java.util.function.LongPredicate;
+
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.request.RequestKind;
+
+/**
+ * Random requests of one workspace: exponential gaps, sizes from tens to thousands of tokens with equal weight per
+ * doubling. A shaped load delays each request until it fits into a bucket of the workspace's rate and a part of its
+ * burst, so that every request is within the workspace's limit.
+ */
+final class Workload {
+
+    private final EventQueue events;
+    private final LimitsFleet fleet;
+    private final SplittableRandom random;
+    private final double rate;
+    private final double load;
+    private double shapedBurst;
+    private long minTokens = 20;
+    private long maxTokens = 4000;
+    private boolean faulty;
+    private double level;
+    private double levelAtMillis;
+    private double nextAtMillis;
+    private int sent;
+    private long offered;
+
+    Workload(EventQueue events, LimitsFleet fleet, SplittableRandom random, double rate, double load) {
+        this.events = events;
+        this.fleet = fleet;
+        this.random = random;
+        this.rate = rate;
+        this.load = load;
+        this.levelAtMillis = events.nowMillis();
+        this.nextAtMillis = events.nowMillis();
+    }
+
+    Workload sizes(long min, long max) {
+        minTokens = min;
+        maxTokens = max;
+        return this;
+    }
+
+    /** Shapes the load to a bucket of this many tokens. */
+    Workload shapedTo(double burst) {
+        shapedBurst = burst;
+        level = burst;
+        return this;
+    }
+
+    /** Mixes deferrable requests and requests that use only a part of their charge. */
+    Workload mixed() {
+        faulty = true;
+        return this;
+    }
+
+    int sent() {
+        return sent;
+    }
+
+    long offeredTokens() {
+        return offered;
+    }
+
+    /**
+     * Sends until a time.
+     *
+     * @param endMillis when to stop
+     * @param hostOf chooses the host number for the n-th request
+     * @param accepts whether a host takes requests, by its number
+     */
+    void run(long endMillis, IntUnaryOperator hostOf, LongPredicate accepts) {
+        long tokens = Math.round(minTokens * Math.pow((double) maxTokens / minTokens, random.nextDouble()));
+        double meanSize = (maxTokens - minTokens) / Math.log((double) maxTokens / minTokens);
+        nextAtMillis += -Math.log(1 - random.nextDouble()) * meanSize / (rate * load) * 1000;
+        double at = nextAtMillis;
+        if (shapedBurst > 0) {
+            at = Math.max(at, levelAtMillis);
+            level = Math.min(shapedBurst, level + rate * (at - levelAtMillis) / 1000);
+            double wait = Math.max(0, (tokens - level) / rate * 1000);
+            at += wait;
+            level += wait * rate / 1000 - tokens;
+            levelAtMillis = at;
+        }
+        long sendAt = (long) Math.ceil(at);
+        if (sendAt > endMillis) {
+            return;
+        }
+        events.at(sendAt, () -> {
+            int number = hostOf.applyAsInt(sent);
+            if (accepts.test(number)) {
+                sent++;
+                offered += tokens;
+                send(Fleets.host(number), tokens);
+            }
+            run(endMillis, hostOf, accepts);
+        });
+    }
+
+    private void send(HostId host, long tokens) {
+        boolean defers = faulty && random.nextInt(4) == 0;
+        long unused = faulty && random.nextInt(3) == 0 ? random.nextLong(tokens + 1) : 0;
+        long runMillis = unused == 0 ? 0 : random.nextLong(3000);
+        fleet.submit(host, tokens, defers ? RequestKind.DEFERRABLE : RequestKind.IDEMPOTENT, unused, runMillis);
+    }
+}
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/limit/WaitingQueues.java
@@ -0,0 +1,51 @@
+package org.guavathread.core.limit;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.guavathread.core.id.WorkspaceId;
+
+/** The deferrable requests of each workspace, in the order of their arrival; only the first one gathers budget. */
+final class WaitingQueues {
+
+    private final Map<WorkspaceId, Deque<Gathering>> queues = new HashMap<>();
+    private final int maxWaiting;
+
+    WaitingQueues(int maxWaiting) {
+        this.maxWaiting = maxWaiting;
+    }
+
+    /** Adds a request; false if the queue is full. */
+    boolean add(Gathering gathering) {
+        Deque<Gathering> queue = queues.computeIfAbsent(gathering.request().workspace(), w -> new ArrayDeque<>());
+        return queue.size() < maxWaiting && queue.add(gathering);
+    }
+
+    boolean isFirst(Gathering gathering) {
+        Deque<Gathering> queue = queues.get(gathering.request().workspace());
+        return queue != null && queue.peekFirst() == gathering;
+    }
+
+    /** Removes a request; gives the one that is first because of that. */
+    Optional<Gathering> remove(Gathering gathering) {
+        WorkspaceId workspace = gathering.request().workspace();
+        Deque<Gathering> queue = queues.get(workspace);
+        if (queue == null) {
+            return Optional.empty();
+        }
+        boolean wasFirst = queue.peekFirst() == gathering;
+        queue.remove(gathering);
+        if (queue.isEmpty()) {
+            queues.remove(workspace);
+        }
+        return wasFirst ? Optional.ofNullable(queue.peekFirst()) : Optional.empty();
+    }
+
+    int size(WorkspaceId workspace) {
+        Deque<Gathering> queue = queues.get(workspace);
+        return queue == null ? 0 : queue.size();
+    }
+}
