--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/membership/EpochTracker.java
@@ -0,0 +1,389 @@
+package org.guavathread.core.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.guavathread.core.id.HostEpoch;
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.id.Incarnation;
+import org.guavathread.core.id.RegionId;
+import org.guavathread.core.id.SheetVersion;
+import org.guavathread.core.sheet.Host;
+import org.guavathread.core.sheet.Sheet;
+
+/**
+ * Follows the host epochs of the sheets in force and gives the rights that this host has. It asks the witnesses, and
+ * answers as one.
+ *
+ * <pre>{@code
+ * tracker.onSheet(sheet, now);
+ * tracker.onTick(now).forEach(ping -> peers.send(ping.to(), ping.message()));
+ * EpochView view = tracker.view(now);
+ * }</pre>
+ */
+public final class EpochTracker {
+
+    /** While something is missing, a lost ping costs one second. */
+    private static final long URGENT_PING_MILLIS = 1_000;
+
+    /** Three pings fit into a lease, so that two may be lost. */
+    private static final long CALM_PING_MILLIS = 3_000;
+
+    /** What is left of a lease after one calm interval; less means that a ping was lost. */
+    private static final long COMFORTABLE_LEASE_MILLIS = EpochLease.DURATION_MILLIS - CALM_PING_MILLIS;
+
+    private final HostId self;
+    private final Incarnation incarnation;
+    private final WitnessRestart restart;
+    private final EpochLease lease = new EpochLease();
+    private final EpochSettlement settlement = new EpochSettlement();
+    private final EpochLineage lineage = new EpochLineage();
+    private final Map<HostId, Long> pingedAtMillis = new HashMap<>();
+    private final Set<HostId> continuityWitnesses = new HashSet<>();
+
+    private Sheet sheet;
+    private KnownEpoch current;
+    private KnownEpoch previous;
+    private boolean numberKnown;
+    private boolean continuous;
+    private boolean skippedVersion;
+    private long adoptedAtMillis;
+    private long settledAtMillis = EpochView.NOT_SETTLED;
+    private long inheritedLeaseDeadlineMillis;
+
+    /**
+     * Builds the tracker of one run of a host.
+     *
+     * @param self this host
+     * @param incarnation this run
+     * @param startedAtMillis when this run started, on the clock that is passed to the other methods
+     */
+    public EpochTracker(HostId self, Incarnation incarnation, long startedAtMillis) {
+        this.self = self;
+        this.incarnation = incarnation;
+        this.restart = new WitnessRestart(self, startedAtMillis);
+    }
+
+    /**
+     * A ping to send.
+     *
+     * @param to the witness
+     * @param message the ping
+     */
+    public record PingTo(HostId to, WitnessPing message) {}
+
+    /**
+     * Takes note of a sheet that came into force. A sheet with another set of active hosts starts a new epoch.
+     *
+     * @param next the sheet; older versions are ignored
+     * @param nowMillis the current time
+     */
+    public void onSheet(Sheet next, long nowMillis) {
+        if (sheet != null && !next.version().isNewerThan(sheet.version())) {
+            return;
+        }
+        skippedVersion |=
+                sheet != null && next.version().value() != sheet.version().value() + 1;
+        KnownEpoch epoch = KnownEpoch.of(next, new HostEpoch(next.version().value()));
+        sheet = next;
+        if (current != null && epoch.id().membersHash() == current.id().membersHash()) {
+            return;
+        }
+        if (!numberKnown) {
+            restart.restart();
+            current = epoch.renumbered(HostEpoch.NONE);
+            adoptedAtMillis = nowMillis;
+            if (next.hosts().size() == 1 && isWitness(current)) {
+                restart.alone();
+                know(epoch.id().number());
+                settledAtMillis = nowMillis;
+            }
+            return;
+        }
+        supersede(epoch, !skippedVersion, nowMillis);
+    }
+
+    /**
+     * Starts an epoch. Rights are kept only if the host could use them in the epoch before, and if no epoch lies between
+     * that another host may have settled. Versions of the sheet without a gap prove that; so does, later, a majority of
+     * the witnesses of the epoch before. Until the old lease ends, no other epoch can be settled in any case.
+     */
+    private void supersede(KnownEpoch epoch, boolean direct, long nowMillis) {
+        boolean hadRights = continuous || nowMillis >= settledAtMillis;
+        boolean otherSet = epoch.id().membersHash() != current.id().membersHash();
+        inheritedLeaseDeadlineMillis = leaseDeadlineMillis(nowMillis);
+        lineage.superseded(current, nowMillis);
+        previous = hadRights && otherSet ? current : null;
+        current = epoch;
+        adoptedAtMillis = nowMillis;
+        settledAtMillis = EpochView.NOT_SETTLED;
+        continuous = direct && previous != null;
+        skippedVersion = false;
+        continuityWitnesses.clear();
+        lease.clear();
+        settlement.clear();
+        pingedAtMillis.clear();
+    }
+
+    private void know(HostEpoch number) {
+        current = current.renumbered(number);
+        numberKnown = true;
+    }
+
+    /**
+     * Gives the pings that are due. To be called several times a second.
+     *
+     * @param nowMillis the current time
+     * @return pings, at most one for each host
+     */
+    public List<PingTo> onTick(long nowMillis) {
+        if (sheet == null) {
+            return List.of();
+        }
+        refresh(nowMillis);
+        boolean settled = nowMillis >= settledAtMillis;
+        boolean calm = settled && leaseDeadlineMillis(nowMillis) - nowMillis >= COMFORTABLE_LEASE_MILLIS;
+        long interval = calm ? CALM_PING_MILLIS : URGENT_PING_MILLIS;
+        EpochId asked = numberKnown ? current.id() : EpochId.UNKNOWN;
+        boolean wantLineage = !numberKnown || !settled;
+        List<PingTo> pings = new ArrayList<>();
+        for (HostId host : targets(settled)) {
+            if (!host.equals(self) && nowMillis - pingedAtMillis.getOrDefault(host, nowMillis - interval) >= interval) {
+                pingedAtMillis.put(host, nowMillis);
+                pings.add(
+                        new PingTo(host, new WitnessPing(asked, sheet.version(), incarnation, nowMillis, wantLineage)));
+            }
+        }
+        return pings;
+    }
+
+    /**
+     * Only witnesses of the new epoch ask all witnesses of the earlier ones; the others learn from them that the epoch
+     * is settled. Otherwise 410 hosts would ask 20 witnesses each second.
+     */
+    private Set<HostId> targets(boolean settled) {
+        Set<HostId> targets = new TreeSet<>(leaseWitnesses(current).hosts());
+        if (!numberKnown || !restart.isDone()) {
+            targets.addAll(current.allWitnesses());
+        }
+        if (!settled && numberKnown) {
+            if (isWitness(current)) {
+                lineage.live().forEach(epoch -> targets.addAll(epoch.allWitnesses()));
+            }
+            if (!continuous && previous != null) {
+                targets.addAll(leaseWitnesses(previous).hosts());
+            }
+        }
+        return targets;
+    }
+
+    /** Counts this host's own support and draws the conclusions that became possible. */
+    private void refresh(long nowMillis) {
+        if (!restart.isDone()) {
+            restart.check(leaseWitnesses(current), nowMillis);
+            if (restart.memory(nowMillis) == WitnessMemory.LOST) {
+                goOnWithoutMemory(nowMillis);
+            }
+        }
+        if (!numberKnown) {
+            return;
+        }
+        settlement.confirmed(self, incarnation, nowMillis, nowMillis);
+        if (restart.isDone()) {
+            lease.supported(self, nowMillis);
+        }
+        if (settledAtMillis == EpochView.NOT_SETTLED) {
+            List<KnownEpoch> live = lineage.live();
+            if (!live.isEmpty() && settlement.settledAtMillis(live) <= nowMillis) {
+                settle(nowMillis);
+            }
+        }
+        lineage.prune(nowMillis, sheet.claimRetentionSeconds() * 1_000L);
+    }
+
+    /** Nobody knows an earlier epoch, and the leases that this set of witnesses supported have ended. */
+    private void goOnWithoutMemory(long nowMillis) {
+        if (!numberKnown) {
+            know(new HostEpoch(sheet.version().value()));
+        }
+        if (lineage.live().isEmpty() && settledAtMillis == EpochView.NOT_SETTLED) {
+            settle(nowMillis);
+        }
+    }
+
+    private void settle(long nowMillis) {
+        settledAtMillis = nowMillis;
+        lineage.settled(nowMillis);
+    }
+
+    /**
+     * Answers as a witness.
+     *
+     * @param from the asking host
+     * @param ping its ping
+     * @param nowMillis the current time
+     * @return the reply
+     */
+    public WitnessReply onPing(HostId from, WitnessPing ping, long nowMillis) {
+        if (sheet != null) {
+            refresh(nowMillis);
+            followNumber(ping.epoch(), nowMillis);
+        }
+        EpochId mine = current == null ? EpochId.UNKNOWN : current.id();
+        boolean settled = numberKnown && nowMillis >= settledAtMillis;
+        boolean sameSet = ping.epoch().equals(EpochId.UNKNOWN) || mine.equals(ping.epoch());
+        List<LineageEntry> entries = ping.wantLineage() && sameSet && numberKnown && current != null
+                ? lineage.entries(current, nowMillis)
+                : List.of();
+        SheetVersion version = sheet == null ? SheetVersion.NONE : sheet.version();
+        return new WitnessReply(
+                ping.epoch(),
+                ping.sender(),
+                ping.sentAtMillis(),
+                incarnation,
+                restart.memory(nowMillis),
+                mine,
+                settled,
+                version,
+                entries);
+    }
+
+    /** Takes over the larger number of a host that has the same set, if this host's sheet is new enough for it. */
+    private void followNumber(EpochId theirs, long nowMillis) {
+        if (!theirs.renumbers(current.id())
+                || theirs.number().value() > sheet.version().value()) {
+            return;
+        }
+        if (numberKnown) {
+            supersede(current.renumbered(theirs.number()), false, nowMillis);
+        } else {
+            know(theirs.number());
+        }
+    }
+
+    /**
+     * Takes the reply of a witness.
+     *
+     * @param from the witness
+     * @param reply its reply; replies to earlier runs of this host are ignored
+     * @param nowMillis the current time
+     */
+    public void onReply(HostId from, WitnessReply reply, long nowMillis) {
+        if (sheet == null || !reply.sender().equals(incarnation)) {
+            return;
+        }
+        boolean sameSet = reply.epoch().membersHash() == current.id().membersHash();
+        if (sameSet && !restart.isDone()) {
+            restart.answered(from, reply.memory(), nowMillis);
+        }
+        if (sameSet) {
+            followNumber(reply.epoch(), nowMillis);
+        }
+        if (!numberKnown) {
+            refresh(nowMillis);
+            return;
+        }
+        if (reply.epoch().equals(current.id())) {
+            takeLineage(from, reply, nowMillis);
+        }
+        if (reply.confirms() && reply.asked().equals(current.id())) {
+            settlement.confirmed(from, reply.witness(), reply.sentAtMillis(), nowMillis);
+            if (reply.vouches()) {
+                lease.supported(from, reply.sentAtMillis());
+            }
+        } else if (reply.epoch().number().isNewerThan(current.id().number())) {
+            lease.withdrawn(from);
+        }
+        refresh(nowMillis);
+    }
+
+    private void takeLineage(HostId from, WitnessReply reply, long nowMillis) {
+        if (settledAtMillis != EpochView.NOT_SETTLED) {
+            return;
+        }
+        if (lineage.merge(current, reply.lineage(), nowMillis)) {
+            continuous = false;
+            continuityWitnesses.clear();
+            previous = null;
+        }
+        if (reply.settled()) {
+            settle(nowMillis);
+        } else if (!continuous && previous != null && reply.confirms()) {
+            continuityWitnesses.add(from);
+            RegionWitnesses witnesses = leaseWitnesses(previous);
+            long proven = witnesses.hosts().stream()
+                    .filter(h -> continuityWitnesses.contains(h) || h.equals(self))
+                    .count();
+            continuous = proven >= witnesses.majority();
+        }
+    }
+
+    /**
+     * Gives the rights of this host.
+     *
+     * @param nowMillis the current time
+     * @return a view; without a sheet, an epoch without hosts and no lease
+     */
+    public EpochView view(long nowMillis) {
+        if (current == null) {
+            return new EpochView(
+                    new EpochMembers(HostEpoch.NONE, List.of()), 0, nowMillis, EpochView.NOT_SETTLED, List.of());
+        }
+        return new EpochView(
+                current.members(), leaseDeadlineMillis(nowMillis), adoptedAtMillis, settledAtMillis, lineage.views());
+    }
+
+    private long leaseDeadlineMillis(long nowMillis) {
+        if (!numberKnown) {
+            return 0;
+        }
+        RegionWitnesses witnesses = leaseWitnesses(current);
+        boolean alone = current.hosts().size() == 1 && isWitness(current) && restart.isDone();
+        long own = alone ? nowMillis + EpochLease.DURATION_MILLIS : lease.deadlineMillis(witnesses);
+        long usable = continuous || nowMillis >= settledAtMillis ? own : 0;
+        return Math.max(usable, inheritedLeaseDeadlineMillis);
+    }
+
+    /**
+     * Gives the epoch that this host puts into its messages.
+     *
+     * @return the epoch, or {@link EpochId#UNKNOWN} before the host knows it
+     */
+    public EpochId epoch() {
+        return numberKnown ? current.id() : EpochId.UNKNOWN;
+    }
+
+    /**
+     * Lists hosts of earlier epochs that must stay reachable although the sheet may not list them any more.
+     *
+     * @return the witnesses of epochs whose leases may still run, with their addresses
+     */
+    public List<Host> earlierWitnesses() {
+        List<Host> hosts = new ArrayList<>();
+        Set<HostId> seen = new HashSet<>();
+        for (KnownEpoch epoch : lineage.live()) {
+            Set<HostId> witnesses = epoch.allWitnesses();
+            epoch.hosts().stream()
+                    .filter(h -> witnesses.contains(h.id()) && seen.add(h.id()))
+                    .forEach(hosts::add);
+        }
+        return hosts;
+    }
+
+    private boolean isWitness(KnownEpoch epoch) {
+        return epoch.allWitnesses().contains(self);
+    }
+
+    /** The witnesses of this host's region; a host outside the sheet or in a region without hosts asks the first one. */
+    private RegionWitnesses leaseWitnesses(KnownEpoch epoch) {
+        Host host = sheet.hosts().get(self);
+        RegionId region =
+                host == null ? null : sheet.regionOf(host.dataCentre()).orElse(null);
+        return epoch.witnessesIn(region).orElseGet(() -> epoch.witnesses().get(0));
+    }
+}
--- a/guavathread-core/src/main/java/org/guavathread/core/membership/EpochView.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/membership/EpochView.java
@@ -1,6 +1,7 @@
 package org.guavathread.core.membership;
 
 import java.util.List;
+import java.util.function.Predicate;
 
 /**
  * What a host knows about its rights at one moment. Decisions get a view with each call and never keep one.
@@ -55,4 +56,26 @@
     public boolean isSettled(long nowMillis) {
         return settledAtMillis != NOT_SETTLED && nowMillis >= settledAtMillis;
     }
+
+    /**
+     * Tells whether the host may use a right now. Before the current epoch is settled, the host must have had the right
+     * in every earlier epoch whose holders may still act, not only in the latest of them.
+     *
+     * <pre>{@code
+     * boolean owner = view.mayUse(members -> members.owners("claim:" + key, 5).contains(self), now);
+     * }</pre>
+     *
+     * @param isHolder tells whether this host has the right among given hosts
+     * @param nowMillis the current time
+     * @return true if the host holds the lease and nobody else may hold the right
+     */
+    public boolean mayUse(Predicate<EpochMembers> isHolder, long nowMillis) {
+        if (!holdsLease(nowMillis) || !isHolder.test(current)) {
+            return false;
+        }
+        return isSettled(nowMillis)
+                || earlier.stream()
+                        .filter(epoch -> epoch.successorSettledAtMillis() == NOT_SETTLED)
+                        .allMatch(epoch -> isHolder.test(epoch.members()));
+    }
 }
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/membership/LineageEntry.java
@@ -0,0 +1,36 @@
+package org.guavathread.core.membership;
+
+import java.util.List;
+
+import org.guavathread.core.id.HostEpoch;
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.sheet.Host;
+
+/**
+ * A superseded epoch as one host tells it to another with the same set of hosts. Its members are sent as the difference
+ * to that set, because epochs differ by a few of up to 410 hosts.
+ *
+ * @param epoch the superseded epoch
+ * @param membersHash hash of its set of hosts
+ * @param gone its hosts that are not in the current set
+ * @param come ids of hosts of the current set that were not in it
+ * @param witnesses its witnesses by region
+ * @param supersededAgoMillis how long ago the sender learnt of the next epoch, in milliseconds
+ * @param successorSettledAgoMillis how long ago a later epoch was settled, in milliseconds; -1 if none is
+ */
+public record LineageEntry(
+        HostEpoch epoch,
+        long membersHash,
+        List<Host> gone,
+        List<HostId> come,
+        List<RegionWitnesses> witnesses,
+        long supersededAgoMillis,
+        long successorSettledAgoMillis) {
+
+    /** Copies the lists. */
+    public LineageEntry {
+        gone = List.copyOf(gone);
+        come = List.copyOf(come);
+        witnesses = List.copyOf(witnesses);
+    }
+}
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/membership/WitnessRestart.java
@@ -0,0 +1,85 @@
+package org.guavathread.core.membership;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.guavathread.core.id.HostId;
+
+/**
+ * Restores what a restarted witness must know before it supports a lease: which epochs its earlier runs confirmed.
+ *
+ * <p>With n witnesses and majorities of m, it asks the others until n - m + 1 of them with intact memory have answered:
+ * any majority that its earlier run belonged to has a member among them. If at least m of the witnesses, itself
+ * included, have restarted, nobody can tell it; then it goes on 10 s after its start, when the leases that the earlier
+ * runs supported have ended. A witness that merely cannot reach the others keeps waiting.
+ */
+final class WitnessRestart {
+
+    /** Longer than a lease, which an earlier run may have supported just before it ended. */
+    static final long WAIT_MILLIS = 10_000;
+
+    /**
+     * How long a witness that gave up counts as restarted for others. Witnesses that restarted with it may have done so
+     * up to one waiting time later; a longer time would let a later restart count on memory that is intact again.
+     */
+    static final long LOST_SHOWN_MILLIS = 15_000;
+
+    private record Answer(WitnessMemory memory, long atMillis) {}
+
+    /** Older answers may describe a run that has ended since. */
+    private static final long ANSWER_VALID_MILLIS = 5_000;
+
+    private final HostId self;
+    private final long startedAtMillis;
+    private final Map<HostId, Answer> answers = new HashMap<>();
+    private WitnessMemory memory = WitnessMemory.EMPTY;
+    private long lostAtMillis;
+
+    WitnessRestart(HostId self, long startedAtMillis) {
+        this.self = self;
+        this.startedAtMillis = startedAtMillis;
+    }
+
+    WitnessMemory memory(long nowMillis) {
+        boolean shown = nowMillis < lostAtMillis + LOST_SHOWN_MILLIS;
+        return memory == WitnessMemory.LOST && !shown ? WitnessMemory.COMPLETE : memory;
+    }
+
+    boolean isDone() {
+        return memory.isComplete();
+    }
+
+    void answered(HostId witness, WitnessMemory theirs, long nowMillis) {
+        answers.put(witness, new Answer(theirs, nowMillis));
+    }
+
+    /** Forgets the answers when the set of witnesses changes. */
+    void restart() {
+        answers.clear();
+    }
+
+    void alone() {
+        memory = WitnessMemory.COMPLETE;
+    }
+
+    void check(RegionWitnesses witnesses, long nowMillis) {
+        int size = witnesses.hosts().size();
+        int majority = witnesses.majority();
+        int intact = 0;
+        int lost = witnesses.hosts().contains(self) ? 1 : 0;
+        for (HostId host : witnesses.hosts()) {
+            Answer answer = answers.get(host);
+            if (host.equals(self) || answer == null || nowMillis - answer.atMillis() > ANSWER_VALID_MILLIS) {
+                continue;
+            }
+            intact += answer.memory().isComplete() ? 1 : 0;
+            lost += answer.memory().countsAsLost() ? 1 : 0;
+        }
+        if (intact >= size - majority + 1) {
+            memory = WitnessMemory.COMPLETE;
+        } else if (lost >= majority && nowMillis >= startedAtMillis + WAIT_MILLIS) {
+            memory = WitnessMemory.LOST;
+            lostAtMillis = nowMillis;
+        }
+    }
+}
--- /dev/null
+++ b/guavathread-core/src/test/java/org/guavathread/core/membership/EpochTrackerTest.java
@@ -0,0 +1,160 @@
+package org.guavathread.core.membership;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.guavathread.core.id.DataCentreId;
+import org.guavathread.core.id.HostEpoch;
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.id.Incarnation;
+import org.guavathread.core.id.RegionId;
+import org.guavathread.core.id.SheetVersion;
+import org.guavathread.core.sheet.AdminState;
+import org.guavathread.core.sheet.DataCentre;
+import org.guavathread.core.sheet.Host;
+import org.guavathread.core.sheet.Sheet;
+import org.guavathread.core.sheet.SocketAddressText;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against a lease or a right that a host must not have, in small hand-made schedules. */
+class EpochTrackerTest {
+
+    private final Map<HostId, EpochTracker> trackers = new LinkedHashMap<>();
+    private final Set<HostId> unreachable = new HashSet<>();
+    private long now = 1_000_000;
+
+    @Test
+    void aColdStartWaitsForLeasesOfEarlierRuns() {
+        start(sheet(1, "a", "b", "c"), "a", "b", "c");
+        run(9_500);
+        assertFalse(view("a").holdsLease(now));
+        run(2_500);
+        assertTrue(view("a").holdsLease(now) && view("a").isSettled(now));
+        assertEquals(new HostEpoch(1), view("a").current().epoch());
+    }
+
+    @Test
+    void aSingleHostHasItsLeaseAtOnce() {
+        start(sheet(1, "a"), "a");
+        run(100);
+        assertTrue(view("a").holdsLease(now) && view("a").isSettled(now));
+    }
+
+    @Test
+    void keptRightsGoOnAndNewRightsWaitUntilTheEpochIsSettled() {
+        start(sheet(1, "a", "b", "c"), "a", "b", "c");
+        run(13_000);
+        start(sheet(2, "a", "b", "c", "d"), "d");
+        publish(sheet(2, "a", "b", "c", "d"), "a", "b", "c");
+        run(3_000);
+        assertTrue(view("a").holdsLease(now));
+        assertFalse(view("a").isSettled(now));
+        assertTrue(view("a").mayUse(members -> true, now));
+        assertFalse(view("a").mayUse(members -> members.hosts().size() == 4, now));
+        run(9_000);
+        assertTrue(view("a").isSettled(now) && view("d").isSettled(now));
+        assertTrue(view("d").holdsLease(now));
+    }
+
+    @Test
+    void aHostThatIsCutOffLosesItsLeaseBeforeTheNextEpochSettles() {
+        start(sheet(1, "a", "b", "c"), "a", "b", "c");
+        run(13_000);
+        unreachable.add(new HostId("c"));
+        publish(sheet(2, "a", "b"), "a", "b");
+        while (!view("a").isSettled(now)) {
+            run(100);
+        }
+        assertFalse(view("c").holdsLease(now));
+    }
+
+    @Test
+    void aRestartedHostTakesTheEpochNumberAndTheEarlierEpochsFromItsWitnesses() {
+        start(sheet(1, "a", "b", "c"), "a", "b", "c");
+        run(13_000);
+        publish(sheet(2, "a", "b", "c", "d"), "a", "b", "c");
+        publish(sheet(3, "a", "b", "c", "d"), "a", "b", "c");
+        run(14_000);
+        start(sheet(3, "a", "b", "c", "d"), "c");
+        run(3_000);
+        assertEquals(new HostEpoch(2), view("c").current().epoch());
+        assertTrue(view("c").holdsLease(now) && view("c").isSettled(now));
+        assertEquals(1, view("c").earlier().size());
+    }
+
+    @Test
+    void aRestartedWitnessThatReachesTooFewOthersSupportsNoLease() {
+        start(sheet(1, "a", "b", "c", "d", "e"), "a", "b", "c", "d", "e");
+        run(30_000);
+        unreachable.addAll(List.of(new HostId("b"), new HostId("c")));
+        start(sheet(1, "a", "b", "c", "d", "e"), "a");
+        run(60_000);
+        assertFalse(view("d").holdsLease(now));
+        unreachable.clear();
+        run(3_000);
+        assertTrue(view("d").holdsLease(now) && view("a").holdsLease(now));
+    }
+
+    @Test
+    void aHostThatSkippedAnEpochWithItsOwnSetLosesItsRightsUntilTheNewEpochSettles() {
+        start(sheet(1, "a", "b", "c"), "a", "b", "c");
+        run(13_000);
+        publish(sheet(2, "a", "b"), "a", "b");
+        publish(sheet(3, "a", "b", "c"), "a", "b", "c");
+        run(5_000);
+        assertEquals(new HostEpoch(3), view("c").current().epoch());
+        assertFalse(view("c").isSettled(now));
+        run(9_000);
+        assertTrue(view("c").holdsLease(now) && view("c").isSettled(now));
+    }
+
+    private EpochView view(String host) {
+        return trackers.get(new HostId(host)).view(now);
+    }
+
+    private void start(Sheet sheet, String... hosts) {
+        for (String host : hosts) {
+            trackers.put(new HostId(host), new EpochTracker(new HostId(host), new Incarnation(now), now));
+        }
+        publish(sheet, hosts);
+    }
+
+    private void publish(Sheet sheet, String... hosts) {
+        for (String host : hosts) {
+            trackers.get(new HostId(host)).onSheet(sheet, now);
+        }
+    }
+
+    private void run(long millis) {
+        for (long end = now + millis; now < end; now += 100) {
+            trackers.forEach((host, tracker) -> tracker.onTick(now).forEach(ping -> {
+                if (trackers.containsKey(ping.to())
+                        && !unreachable.contains(host)
+                        && !unreachable.contains(ping.to())) {
+                    tracker.onReply(ping.to(), trackers.get(ping.to()).onPing(host, ping.message(), now), now);
+                }
+            }));
+        }
+    }
+
+    private static Sheet sheet(long version, String... active) {
+        List<Host> hosts = new ArrayList<>();
+        for (String host : active) {
+            SocketAddressText address = SocketAddressText.parse("127.0.0.1:" + (1_000 + host.charAt(0)));
+            hosts.add(new Host(new HostId(host), new DataCentreId("dc"), address, address, address, AdminState.ACTIVE));
+        }
+        return Sheet.builder()
+                .version(new SheetVersion(version))
+                .dataCentres(List.of(new DataCentre(new DataCentreId("dc"), new RegionId("r"))))
+                .hosts(hosts)
+                .build();
+    }
+}
