--- a/guavathread-core/src/main/java/org/guavathread/core/membership/Hello.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/membership/Hello.java
@@ -7,12 +7,12 @@
 import org.guavathread.core.message.PeerMessage;
 
 /**
- * First message on a connection between hosts: says who opened it.
+ * First message on a connection between hosts.
  *
- * @param host the host that opened the connection
- * @param incarnation the run of its process
+ * @param host the sender
+ * @param incarnation its run
  * @param dataCentre where it stands
- * @param sheetVersion the version in force there
+ * @param sheetVersion its sheet
  */
 public record Hello(HostId host, Incarnation incarnation, DataCentreId dataCentre, SheetVersion sheetVersion)
         implements PeerMessage {}
