--- a/guavathread-core/src/main/java/org/guavathread/core/placement/ServiceChoice.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/ServiceChoice.java
@@ -45,8 +45,7 @@
      * @param nowMillis the current time
      * @return the service, or empty if none that is active is left
      */
-    public Optional<BackendServer> choose(
-            List<BackendServer> candidates, Set<BackendServerId> tried, long nowMillis) {
+    public Optional<BackendServer> choose(List<BackendServer> candidates, Set<BackendServerId> tried, long nowMillis) {
         Comparator<BackendServer> byFailure =
                 Comparator.comparing(s -> avoidUntilMillis.getOrDefault(s.id(), 0L) > nowMillis);
         return candidates.stream()
--- a/guavathread-router/src/main/java/org/guavathread/router/fleet/FleetSnapshot.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/fleet/FleetSnapshot.java
@@ -45,8 +45,8 @@
      */
     public static FleetSnapshot empty() {
         Sheet none = Sheet.builder().build();
-        EpochView view = new EpochView(
-                new EpochMembers(HostEpoch.NONE, List.of()), 0, 0, EpochView.NOT_SETTLED, List.of());
+        EpochView view =
+                new EpochView(new EpochMembers(HostEpoch.NONE, List.of()), 0, 0, EpochView.NOT_SETTLED, List.of());
         return new FleetSnapshot(none, KeyRing.of(none), view, Set.of(), Set.of(), Map.of());
     }
 
--- a/guavathread-router/src/main/java/org/guavathread/router/fleet/FleetState.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/fleet/FleetState.java
@@ -13,6 +13,7 @@
 import org.guavathread.core.sheet.Host;
 import org.guavathread.core.sheet.Sheet;
 import org.guavathread.core.sheet.SocketAddressText;
+import org.guavathread.router.backend.ListedHost;
 import org.guavathread.router.peer.PeerDirectory;
 
 /**
@@ -26,7 +27,8 @@
 public final class FleetState implements PeerDirectory {
 
     private volatile FleetSnapshot snapshot = FleetSnapshot.empty();
-    private volatile List<Host> bootstrapHosts = List.of();
+    private volatile List<ListedHost> bootstrapHosts = List.of();
+    private volatile List<Host> unlistedHosts = List.of();
     private final List<Runnable> sheetListeners = new CopyOnWriteArrayList<>();
 
     /**
@@ -67,11 +69,16 @@
      * @param suspect hosts that do not answer
      * @param draining hosts that are shutting down
      * @param incarnations the newest known run of each host that answered
+     * @param earlierWitnesses hosts that must stay reachable although the sheet may no longer list them
      */
     public synchronized void membershipChanged(
-            EpochView epochs, Set<HostId> suspect, Set<HostId> draining, Map<HostId, Incarnation> incarnations) {
-        snapshot =
-                new FleetSnapshot(snapshot.sheet(), snapshot.keys(), epochs, suspect, draining, incarnations);
+            EpochView epochs,
+            Set<HostId> suspect,
+            Set<HostId> draining,
+            Map<HostId, Incarnation> incarnations,
+            List<Host> earlierWitnesses) {
+        unlistedHosts = List.copyOf(earlierWitnesses);
+        snapshot = new FleetSnapshot(snapshot.sheet(), snapshot.keys(), epochs, suspect, draining, incarnations);
     }
 
     /**
@@ -79,29 +86,30 @@
      *
      * @param hosts hosts of the platform's host list
      */
-    public void bootstrapHosts(List<Host> hosts) {
+    public void bootstrapHosts(List<ListedHost> hosts) {
         bootstrapHosts = List.copyOf(hosts);
     }
 
     @Override
     public Optional<SocketAddressText> addressOf(HostId host) {
-        FleetSnapshot current = snapshot;
-        if (current.hasSheet()) {
-            return Optional.ofNullable(current.sheet().hosts().get(host)).map(Host::peers);
+        if (snapshot.hasSheet()) {
+            return find(host).map(Host::peers);
         }
         return bootstrapHosts.stream()
                 .filter(h -> h.id().equals(host))
-                .map(Host::peers)
+                .map(ListedHost::address)
                 .findFirst();
     }
 
     @Override
     public boolean accepts(HostId host, String ip) {
-        FleetSnapshot current = snapshot;
-        if (!current.hasSheet()) {
-            return true;
-        }
-        Host listed = current.sheet().hosts().get(host);
-        return listed != null && listed.peers().ip().equals(ip);
+        return !snapshot.hasSheet() || find(host).filter(h -> h.peers().ip().equals(ip)).isPresent();
+    }
+
+    private Optional<Host> find(HostId host) {
+        Host listed = snapshot.sheet().hosts().get(host);
+        return listed != null
+                ? Optional.of(listed)
+                : unlistedHosts.stream().filter(h -> h.id().equals(host)).findFirst();
     }
 }
--- a/guavathread-router/src/main/java/org/guavathread/router/flow/ActiveRequests.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/ActiveRequests.java
@@ -79,8 +79,10 @@
     public void cancelAll() {
         entries.values().forEach(e -> {
             e.cancel().run();
-            e.context().refuse(Refusal.notRun(
-                    RefusalCode.DRAINING, "This host shuts down before the request could end; use another host."));
+            e.context()
+                    .refuse(Refusal.notRun(
+                            RefusalCode.DRAINING,
+                            "This host shuts down before the request could end; use another host."));
         });
     }
 
--- a/guavathread-router/src/main/java/org/guavathread/router/flow/EntryAnswer.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/EntryAnswer.java
@@ -42,7 +42,8 @@
         Sheet sheet = fleet.sheet();
         Set<HostId> ranked = new LinkedHashSet<>();
         Optional<Workspace> known = workspace.map(sheet.workspaces()::get);
-        known.ifPresent(w -> ranked.addAll(nearestFirst(sheet, HomeHosts.of(w, sheet, fleet.epochs().current()), nearest)));
+        known.ifPresent(w -> ranked.addAll(
+                nearestFirst(sheet, HomeHosts.of(w, sheet, fleet.epochs().current()), nearest)));
         String spread = workspace.map(WorkspaceId::value).orElse("");
         List<HostId> others = RendezvousHash.rank("entry:" + spread, sheet.activeHosts(), h -> h.id().value()).stream()
                 .map(Host::id)
@@ -54,7 +55,10 @@
             boolean usable = host != null && host.isActive() && fleet.isLive(id);
             if (usable && addresses.size() < MAX_ADDRESSES) {
                 addresses.add(Map.of(
-                        "address", host.callers().toString(), "dataCentre", host.dataCentre().value()));
+                        "address",
+                        host.callers().toString(),
+                        "dataCentre",
+                        host.dataCentre().value()));
             }
         }
         Map<String, Object> answer = new LinkedHashMap<>();
--- a/guavathread-router/src/main/java/org/guavathread/router/flow/Failures.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/Failures.java
@@ -1,10 +1,12 @@
 package org.guavathread.router.flow;
 
+import java.io.IOException;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
 
 import org.guavathread.core.request.Refusal;
 import org.guavathread.core.request.RefusalCode;
+import org.guavathread.router.http.ExchangeFailedException;
 import org.guavathread.router.http.RequestNotSentException;
 import org.guavathread.router.supervisor.InboxFullException;
 
@@ -17,7 +19,8 @@
 
     static Throwable causeOf(Throwable failure) {
         Throwable cause = failure;
-        while ((cause instanceof CompletionException || cause instanceof ExecutionException) && cause.getCause() != null) {
+        while ((cause instanceof CompletionException || cause instanceof ExecutionException)
+                && cause.getCause() != null) {
             cause = cause.getCause();
         }
         return cause;
@@ -28,6 +31,11 @@
         return causeOf(failure) instanceof RequestNotSentException;
     }
 
+    /** Tells whether the backend server closed the connection while it owed an answer, as it does when it crashes. */
+    static boolean isConnectionLost(Throwable failure) {
+        return causeOf(failure) instanceof ExchangeFailedException lost && lost.getCause() instanceof IOException;
+    }
+
     /** Gives the refusal for a step before any dispatch. */
     static Refusal beforeDispatch(Throwable failure) {
         Throwable cause = causeOf(failure);
--- a/guavathread-router/src/main/java/org/guavathread/router/flow/PlainFlow.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/PlainFlow.java
@@ -148,7 +148,8 @@
     }
 
     private void failed(RequestContext context, BackendServerId server, Set<BackendServerId> tried, Throwable failure) {
-        context.trace("call of " + server + " failed: " + Failures.causeOf(failure).getMessage());
+        context.trace(
+                "call of " + server + " failed: " + Failures.causeOf(failure).getMessage());
         if (Failures.isNotSent(failure)) {
             call(context, tried);
             return;
--- a/guavathread-router/src/main/java/org/guavathread/router/flow/RequestContext.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/RequestContext.java
@@ -90,7 +90,9 @@
     void refuse(Refusal refusal) {
         boolean proven = !dispatched && idempotencyKey().isEmpty();
         refuseAsStated(
-                proven ? refusal : Refusal.unknown(refusal.code(), refusal.message()).retryAfter(refusal.retryAfterMillis()));
+                proven
+                        ? refusal
+                        : Refusal.unknown(refusal.code(), refusal.message()).retryAfter(refusal.retryAfterMillis()));
     }
 
     /** Ends the request with a refusal whose run state was proven elsewhere. */
@@ -121,6 +123,7 @@
     Refusal deadlinePassed() {
         return Refusal.notRun(
                 RefusalCode.DEADLINE,
-                "The request was not served within " + route.timeoutMillis() + " ms; send it again if that still helps.");
+                "The request was not served within " + route.timeoutMillis()
+                        + " ms; send it again if that still helps.");
     }
 }
--- a/guavathread-router/src/main/java/org/guavathread/router/flow/RequestRouter.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/RequestRouter.java
@@ -6,8 +6,6 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.key.KeyRing;
@@ -20,6 +18,9 @@
 import org.guavathread.router.fleet.FleetState;
 import org.tinylog.Logger;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
 /** First steps of each request: finds its route, checks its API key and passes it to the flow of its target. */
 public final class RequestRouter {
 
@@ -114,8 +115,8 @@
             CallerExchange exchange, Route route, Optional<KeyRing.Owner> owner, FleetSnapshot now) {
         if (refusesNewWork.getAsBoolean()) {
             return Optional.of(Refusal.notRun(
-                            RefusalCode.DRAINING, "Host " + self + " is shutting down; ask " + ENTRY_PATH
-                                    + " for another address.")
+                            RefusalCode.DRAINING,
+                            "Host " + self + " is shutting down; ask " + ENTRY_PATH + " for another address.")
                     .retryAfter(DRAIN_RETRY_AFTER_MILLIS));
         }
         if (route.open()) {
--- a/guavathread-router/src/main/java/org/guavathread/router/service/CellOwner.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/service/CellOwner.java
@@ -135,7 +135,9 @@
     }
 
     int reservedPieces(BackendServerId engine) {
-        return cells.values().stream().mapToInt(e -> e.cell.reservedPieces(engine)).sum();
+        return cells.values().stream()
+                .mapToInt(e -> e.cell.reservedPieces(engine))
+                .sum();
     }
 
     int cellCount() {
--- a/guavathread-router/src/main/java/org/guavathread/router/service/ClaimService.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/service/ClaimService.java
@@ -187,9 +187,15 @@
      * @param router passes messages on
      */
     public void register(PeerRouter router) {
-        router.on(ClaimRequest.class, (from, m, reply) -> duty.offer(s -> answer(s, m).ifPresent(reply)));
-        router.on(ClaimAbort.class, (from, m, reply) -> duty.offer(s -> answer(s, m).ifPresent(reply)));
-        router.on(OutcomeQuery.class, (from, m, reply) -> duty.offer(s -> answer(s, m).ifPresent(reply)));
+        router.on(
+                ClaimRequest.class,
+                (from, m, reply) -> duty.offer(s -> answer(s, m).ifPresent(reply)));
+        router.on(
+                ClaimAbort.class,
+                (from, m, reply) -> duty.offer(s -> answer(s, m).ifPresent(reply)));
+        router.on(
+                OutcomeQuery.class,
+                (from, m, reply) -> duty.offer(s -> answer(s, m).ifPresent(reply)));
         router.on(ClaimOutcome.class, (from, m, reply) -> duty.offer(s -> answer(s, m)));
     }
 
@@ -202,8 +208,7 @@
     public void start(ClaimCall call, ClaimedWork work) {
         boolean taken = duty.offer(state -> {
             long number = state.nextNumber++;
-            ClaimCoordinator coordinator =
-                    new ClaimCoordinator(call, state.ids, state.log, state.settings, random);
+            ClaimCoordinator coordinator = new ClaimCoordinator(call, state.ids, state.log, state.settings, random);
             Attempt attempt = new Attempt(coordinator, work);
             state.attempts.put(number, attempt);
             perform(state, number, coordinator.start(view(), clock.nowMillis()));
--- a/guavathread-router/src/main/java/org/guavathread/router/service/EngineMonitor.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/service/EngineMonitor.java
@@ -62,7 +62,13 @@
      * @param queueTokens prompt tokens that wait; -1 before the first report
      */
     public record Row(
-            String id, String kind, String state, int reservedPieces, int usedPieces, int memoryPieces, long queueTokens) {}
+            String id,
+            String kind,
+            String state,
+            int reservedPieces,
+            int usedPieces,
+            int memoryPieces,
+            long queueTokens) {}
 
     EngineMonitor(
             HostId self,
@@ -155,23 +161,21 @@
     }
 
     private void readLoad(BackendServerId id, Engine engine) {
-        engine.load(clock.nowMillis() + CALL_TIMEOUT_MILLIS).whenComplete((load, failure) -> onDuty.accept(state -> {
-            asked.remove(id);
-            if (failure != null) {
-                return;
-            }
-            long now = clock.nowMillis();
-            loads.put(id, load);
-            state.owner()
-                    .loadReported(
-                            new LoadReport(
-                                    id,
-                                    now - load.ageMillis(),
-                                    load.memoryPieces(),
-                                    load.usedPieces(),
-                                    (int) Math.min(Integer.MAX_VALUE, load.queueTokens())),
-                            now);
-        }));
+        engine.load(clock.nowMillis() + CALL_TIMEOUT_MILLIS)
+                .whenComplete((load, failure) -> onDuty.accept(state -> {
+                    asked.remove(id);
+                    if (failure != null) {
+                        return;
+                    }
+                    long now = clock.nowMillis();
+                    loads.put(id, load);
+                    state.owner()
+                            .loadReported(
+                                    new LoadReport(
+                                            id, now - load.ageMillis(), load.memoryPieces(), load.usedPieces(), (int)
+                                                    Math.min(Integer.MAX_VALUE, load.queueTokens())),
+                                    now);
+                }));
     }
 
     private void readEvents(BackendServerId id) {
@@ -180,18 +184,19 @@
         if (engine == null) {
             return;
         }
-        engine.prefixEvents(after, clock.nowMillis() + CALL_TIMEOUT_MILLIS).thenAccept(events -> onDuty.accept(state -> {
-            for (PrefixEvent event : events) {
-                List<PrefixHash> hash = List.of(new PrefixHash(event.prefixHash()));
-                state.owner()
-                        .cacheChanged(new CacheEvent(
-                                id,
-                                event.sequence(),
-                                event.stored() ? hash : List.of(),
-                                event.stored() ? List.of() : hash));
-                lastEvents.merge(id, event.sequence(), Math::max);
-            }
-        }));
+        engine.prefixEvents(after, clock.nowMillis() + CALL_TIMEOUT_MILLIS)
+                .thenAccept(events -> onDuty.accept(state -> {
+                    for (PrefixEvent event : events) {
+                        List<PrefixHash> hash = List.of(new PrefixHash(event.prefixHash()));
+                        state.owner()
+                                .cacheChanged(new CacheEvent(
+                                        id,
+                                        event.sequence(),
+                                        event.stored() ? hash : List.of(),
+                                        event.stored() ? List.of() : hash));
+                        lastEvents.merge(id, event.sequence(), Math::max);
+                    }
+                }));
     }
 
     /** The owner of a cell lists the requests of all hosts, because a dead host does not list its own. */
@@ -199,8 +204,7 @@
         long deadlineMillis = clock.nowMillis() + CALL_TIMEOUT_MILLIS;
         backends.engine(id)
                 .map(engine -> owned ? engine.listAll(deadlineMillis) : engine.list(self, deadlineMillis))
-                .ifPresent(list -> list.thenAccept(
-                        listed -> onDuty.accept(state -> cancelOrphans(state, id, listed))));
+                .ifPresent(list -> list.thenAccept(listed -> onDuty.accept(state -> cancelOrphans(state, id, listed))));
     }
 
     private void cancelOrphans(PlacementService.State state, BackendServerId id, List<EngineRequest> listed) {
@@ -214,5 +218,4 @@
             cancel(id, orphan);
         }
     }
-
 }
--- a/guavathread-router/src/main/java/org/guavathread/router/service/LimitService.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/service/LimitService.java
@@ -17,6 +17,7 @@
 import org.guavathread.core.limit.LimitAction;
 import org.guavathread.core.message.PeerMessage;
 import org.guavathread.core.request.Refusal;
+import org.guavathread.core.request.RefusalCode;
 import org.guavathread.core.time.Clock;
 import org.guavathread.router.fleet.FleetSnapshot;
 import org.guavathread.router.fleet.FleetState;
@@ -38,6 +39,9 @@
     private static final long TICK_MILLIS = 200;
     private static final long ANSWER_TIMEOUT_MILLIS = 1_000;
 
+    private static final Refusal CANCELLED =
+            Refusal.notRun(RefusalCode.DEADLINE, "The request was cancelled while it waited for its budget.");
+
     private final HostId self;
     private final FleetState fleet;
     private final PeerNetwork network;
@@ -76,10 +80,9 @@
         this.fleet = fleet;
         this.network = network;
         this.clock = clock;
-        this.duty = supervisor.add(
-                new Duty<State>("limits", () -> newState(memoryIds.getAsLong()), supervisor, clock)
-                        .every(TICK_MILLIS, this::tick)
-                        .wakingAt(state -> state.requester.nextWakeAtMillis()));
+        this.duty = supervisor.add(new Duty<State>("limits", () -> newState(memoryIds.getAsLong()), supervisor, clock)
+                .every(TICK_MILLIS, this::tick)
+                .wakingAt(state -> state.requester.nextWakeAtMillis()));
         fleet.onSheet(() -> duty.offer(this::applySheet));
     }
 
@@ -89,10 +92,14 @@
      * @param router passes messages on
      */
     public void register(PeerRouter router) {
-        router.on(BudgetTake.class, (from, take, reply) -> duty.offer(
-                state -> reply.accept(state.budgets.take(take, fleet.now().epochs(), clock.nowMillis()))));
-        router.on(BudgetReturn.class, (from, message, reply) -> duty.offer(
-                state -> state.budgets.giveBack(message, fleet.now().epochs(), clock.nowMillis())));
+        router.on(
+                BudgetTake.class,
+                (from, take, reply) -> duty.offer(state ->
+                        reply.accept(state.budgets.take(take, fleet.now().epochs(), clock.nowMillis()))));
+        router.on(
+                BudgetReturn.class,
+                (from, message, reply) -> duty.offer(
+                        state -> state.budgets.giveBack(message, fleet.now().epochs(), clock.nowMillis())));
     }
 
     /**
@@ -120,8 +127,8 @@
      * @param unusedTokens the part of its charge that it did not use
      */
     public void end(RequestId request, long unusedTokens) {
-        duty.offer(state ->
-                perform(state, state.requester.onEnd(request, unusedTokens, fleet.now().epochs(), clock.nowMillis())));
+        duty.offer(state -> perform(
+                state, state.requester.onEnd(request, unusedTokens, fleet.now().epochs(), clock.nowMillis())));
     }
 
     /**
@@ -131,7 +138,7 @@
      */
     public void cancel(RequestId request) {
         duty.offer(state -> {
-            state.waiting.remove(request);
+            complete(state, request, f -> f.completeExceptionally(new RefusedException(CANCELLED)));
             perform(state, state.requester.cancel(request, fleet.now().epochs(), clock.nowMillis()));
         });
     }
--- a/guavathread-router/src/main/java/org/guavathread/router/service/PeerRouter.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/service/PeerRouter.java
@@ -55,7 +55,10 @@
     public void handle(HostId from, PeerMessage message, Consumer<PeerMessage> reply) {
         PeerHandler route = routes.get(message.getClass());
         if (route == null) {
-            Logger.warn("Host {} sent {}, which nothing here handles.", from, message.getClass().getSimpleName());
+            Logger.warn(
+                    "Host {} sent {}, which nothing here handles.",
+                    from,
+                    message.getClass().getSimpleName());
             return;
         }
         route.handle(from, message, reply);
--- a/guavathread-router/src/main/java/org/guavathread/router/service/PlacementService.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/service/PlacementService.java
@@ -14,6 +14,7 @@
 import org.guavathread.core.id.ModelId;
 import org.guavathread.core.id.RegionId;
 import org.guavathread.core.id.RequestId;
+import org.guavathread.core.id.WorkspaceId;
 import org.guavathread.core.message.PeerMessage;
 import org.guavathread.core.orphan.ReservationTable;
 import org.guavathread.core.placement.Cell;
@@ -25,8 +26,10 @@
 import org.guavathread.core.placement.PlaceRenew;
 import org.guavathread.core.placement.PlaceReply;
 import org.guavathread.core.placement.PlaceRequest;
+import org.guavathread.core.placement.PrefixHash;
 import org.guavathread.core.request.Refusal;
 import org.guavathread.core.request.RefusalCode;
+import org.guavathread.core.request.RequestKind;
 import org.guavathread.core.sheet.DataCentre;
 import org.guavathread.core.sheet.Sheet;
 import org.guavathread.core.time.Clock;
@@ -66,10 +69,26 @@
     /**
      * What a request needs, before its cell is chosen.
      *
+     * @param request the request
      * @param model the model
-     * @param template the message to the cell owner, with any cell in it
+     * @param workspace the workspace that is charged
+     * @param kind the kind of the request
+     * @param promptTokens length of the prompt in tokens
+     * @param maxOutputTokens largest output in tokens
+     * @param prefixHashes hashes of the leading blocks of the prompt, shortest first
+     * @param targetAtMillis when the first token is due to meet the latency target
+     * @param deadlineMillis when the whole answer is due
      */
-    public record Order(ModelId model, PlaceRequest template) {}
+    public record Order(
+            RequestId request,
+            ModelId model,
+            WorkspaceId workspace,
+            RequestKind kind,
+            int promptTokens,
+            int maxOutputTokens,
+            List<PrefixHash> prefixHashes,
+            long targetAtMillis,
+            long deadlineMillis) {}
 
     private static final class Waiting {
         private final PlaceRequest request;
@@ -281,34 +300,32 @@
 
     private void place(State state, Order order, CompletableFuture<Grant> grant) {
         followCells(state);
-        PlaceRequest template = order.template();
         List<CellId> cells = state.cellsByModel.getOrDefault(order.model(), List.of());
         if (cells.isEmpty()) {
             grant.completeExceptionally(new RefusedException(Refusal.notRun(
                     RefusalCode.NO_ROOM, "No engine in the sheet serves model " + order.model() + "; add one.")));
             return;
         }
-        CellId cell = state.choice.choose(
-                cells, template.request().value(), template.prefixHashes(), clock.nowMillis());
-        Waiting entry = new Waiting(inCell(template, cell), grant);
-        state.waiting.put(template.request(), entry);
-        state.cellsByRequest.put(template.request(), cell);
+        CellId cell = state.choice.choose(cells, order.request().value(), order.prefixHashes(), clock.nowMillis());
+        Waiting entry = new Waiting(inCell(order, cell), grant);
+        state.waiting.put(order.request(), entry);
+        state.cellsByRequest.put(order.request(), cell);
         ask(state, entry);
     }
 
-    private PlaceRequest inCell(PlaceRequest t, CellId cell) {
+    private PlaceRequest inCell(Order o, CellId cell) {
         return new PlaceRequest(
-                t.request(),
+                o.request(),
                 self,
                 incarnation,
                 cell,
-                t.workspace(),
-                t.kind(),
-                t.promptTokens(),
-                t.maxOutputTokens(),
-                t.prefixHashes(),
-                t.targetAtMillis(),
-                t.deadlineMillis());
+                o.workspace(),
+                o.kind(),
+                o.promptTokens(),
+                o.maxOutputTokens(),
+                o.prefixHashes(),
+                o.targetAtMillis(),
+                o.deadlineMillis());
     }
 
     private void ask(State state, Waiting entry) {
@@ -406,12 +423,14 @@
         for (ModelId model : sheet.models().keySet()) {
             state.cellsByModel.put(model, cellsNearby(sheet, model));
         }
-        state.choice.retain(state.cellsByModel.values().stream().flatMap(List::stream).toList());
+        state.choice.retain(
+                state.cellsByModel.values().stream().flatMap(List::stream).toList());
     }
 
     private List<CellId> cellsNearby(Sheet sheet, ModelId model) {
         Optional<RegionId> home = sheet.regionOf(dataCentre);
-        List<CellId> own = home.map(r -> idsOf(CellChoice.cells(sheet, model, r))).orElse(List.of());
+        List<CellId> own =
+                home.map(r -> idsOf(CellChoice.cells(sheet, model, r))).orElse(List.of());
         if (!own.isEmpty()) {
             return own;
         }
