--- a/guavathread-router/src/test/java/org/guavathread/router/http/ScriptedPeer.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/http/ScriptedPeer.java
@@ -15,11 +15,11 @@
 import org.guavathread.core.sheet.SocketAddressText;
 
 /** A peer whose behaviour on the socket a test writes down byte by byte. */
-final class ScriptedPeer implements AutoCloseable {
+public final class ScriptedPeer implements AutoCloseable {
 
     /** What the peer does with one request; the connection is closed when it returns false. */
     @FunctionalInterface
-    interface Script {
+    public interface Script {
         boolean answer(String head, OutputStream out, Socket socket) throws IOException;
     }
 
@@ -29,13 +29,15 @@
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final AtomicInteger ended = new AtomicInteger();
 
-    ScriptedPeer(Script script) throws IOException {
+    /** Starts a peer on a free port. */
+    public ScriptedPeer(Script script) throws IOException {
         this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         this.script = script;
         daemon(this::accept);
     }
 
-    static boolean text(OutputStream out, String text) throws IOException {
+    /** Writes text as it is. */
+    public static boolean text(OutputStream out, String text) throws IOException {
         out.write(text.getBytes(StandardCharsets.ISO_8859_1));
         out.flush();
         return true;
@@ -45,7 +47,7 @@
         return text(out, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
     }
 
-    SocketAddressText address() {
+    public SocketAddressText address() {
         return new SocketAddressText("127.0.0.1", server.getLocalPort());
     }
 
