Publish a new epoch number to the duties and report faults of admin pages as JSON

Admin pages with optional fields failed with an HTML page. Change: the fleet state notifies the duties when the epoch number changes; the audit page is built from plain values.

--- a/guavathread-router/src/main/java/org/guavathread/router/Daemon.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/Daemon.java
@@ -115,7 +115,11 @@
         network = peerSupervisor.add(new PeerNetwork(
                 settings.listenPeers(),
                 fleet,
-                () -> new Hello(self, incarnation, settings.dataCentre(), fleet.now().sheet().version()),
+                () -> new Hello(
+                        self,
+                        incarnation,
+                        settings.dataCentre(),
+                        fleet.now().sheet().version()),
                 new FrameCodec(PeerMessages.registry()),
                 router,
                 clock));
@@ -136,7 +140,7 @@
                 platformSupervisor,
                 clock);
         placement = new PlacementService(
-                self, incarnation, settings.dataCentre(), fleet, network, backends, backendSupervisor, clock);
+                self, incarnation, settings.dataCentre(), fleet, network, backends, metrics, backendSupervisor, clock);
         membership.exchange(configuration::serviceContact, configuration::peerReported);
         membership.register(router);
         claims.register(router);
@@ -148,12 +152,19 @@
 
         callerSupervisor.add(drain);
         callerSupervisor.add(new CallerServer(
-                settings.listenCallers(),
-                new RequestIds(self, incarnation),
-                clock,
-                requestRouter(settings)::route));
+                settings.listenCallers(), new RequestIds(self, incarnation), clock, requestRouter(settings)::route));
         AdminPages pages = new AdminPages(
-                settings, incarnation, fleet, membership, configuration, placement, active, usage, drain, metrics, clock);
+                settings,
+                incarnation,
+                fleet,
+                membership,
+                configuration,
+                placement,
+                active,
+                usage,
+                drain,
+                metrics,
+                clock);
         pages.registerGauges(backlogs());
         callerSupervisor.add(new AdminServer(settings.listenAdmin(), metrics, pages.pages()));
 
--- a/guavathread-router/src/main/java/org/guavathread/router/Guavathreadd.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/Guavathreadd.java
@@ -47,9 +47,10 @@
     }
 
     private static int run(DaemonSettings settings) {
-        Daemon daemon = new Daemon(settings, Clocks.monotonic(), Runtime.getRuntime()::halt);
         CountDownLatch drained = new CountDownLatch(1);
+        Daemon daemon;
         try {
+            daemon = new Daemon(settings, Clocks.monotonic(), Runtime.getRuntime()::halt);
             daemon.start();
         } catch (RuntimeException e) {
             System.err.println("guavathreadd: " + e.getMessage());
--- a/guavathread-router/src/main/java/org/guavathread/router/admin/AdminPages.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/admin/AdminPages.java
@@ -9,6 +9,8 @@
 import java.util.function.Function;
 import java.util.function.IntSupplier;
 
+import org.guavathread.core.config.Acceptance;
+import org.guavathread.core.config.AuditRecord;
 import org.guavathread.core.id.Incarnation;
 import org.guavathread.core.id.RequestId;
 import org.guavathread.core.id.RouteId;
@@ -98,7 +100,7 @@
                 "/status", query -> status(),
                 "/workspaces", query -> workspaces(),
                 "/backends", query -> answerOf(placement.figures()).engines(),
-                "/audit", query -> answerOf(configuration.report()),
+                "/audit", query -> audit(),
                 "/explain", this::explain,
                 "/healthz", query -> new Probe(true, "the process runs"),
                 "/readyz", query -> ready());
@@ -113,27 +115,24 @@
         List<LabelledValue> rings = new ArrayList<>();
         backlogs.forEach((name, value) -> rings.add(new LabelledValue(name, value::getAsInt)));
         metrics.labelledGauge("guavathread_inbox_tasks", "Tasks that wait for a duty.", "duty", rings);
-        metrics.gauge("guavathread_sheet_version", "Version of the sheet in force.", () -> fleet.now()
-                .sheet()
-                .version()
-                .value());
+        metrics.gauge(
+                "guavathread_sheet_version",
+                "Version of the sheet in force.",
+                () -> fleet.now().sheet().version().value());
         metrics.gauge(
                 "guavathread_sheet_age_seconds", "Time since the sheet in force was accepted here.", this::sheetAge);
         metrics.gauge("guavathread_active_requests", "Requests that were accepted and have not ended.", active::count);
-        metrics.gauge("guavathread_suspect_peers", "Hosts that do not answer.", () -> fleet.now()
-                .suspect()
-                .size());
-        metrics.gauge("guavathread_lease_held", "1 while this host holds its epoch lease.", () -> fleet.now()
-                        .epochs()
-                        .holdsLease(clock.nowMillis())
-                ? 1
-                : 0);
-        metrics.gauge("guavathread_isolated", "1 while this host hears nobody.", () -> configuration.isIsolated() ? 1 : 0);
-        metrics.gauge("guavathread_draining", "1 while this host is shutting down.", () -> drain.isDraining() ? 1 : 0);
         metrics.gauge(
-                "guavathread_orphans_cancelled",
-                "Engine requests cancelled since the start because no host waited for them.",
-                placement::orphansCancelled);
+                "guavathread_suspect_peers",
+                "Hosts that do not answer.",
+                () -> fleet.now().suspect().size());
+        metrics.gauge(
+                "guavathread_lease_held",
+                "1 while this host holds its epoch lease.",
+                () -> fleet.now().epochs().holdsLease(clock.nowMillis()) ? 1 : 0);
+        metrics.gauge(
+                "guavathread_isolated", "1 while this host hears nobody.", () -> configuration.isIsolated() ? 1 : 0);
+        metrics.gauge("guavathread_draining", "1 while this host is shutting down.", () -> drain.isDraining() ? 1 : 0);
     }
 
     private double sheetAge() {
@@ -197,6 +196,35 @@
         return answer;
     }
 
+    private Object audit() {
+        ConfigurationService.Report report = answerOf(configuration.report());
+        Map<String, Object> answer = new LinkedHashMap<>();
+        answer.put("version", report.version());
+        answer.put("digest", report.digest());
+        answer.put("acceptedAtMillis", report.acceptedAtMillis());
+        answer.put("refused", report.refused().map(AdminPages::refusedSheet).orElse(null));
+        answer.put(
+                "changes", report.audit().stream().map(AdminPages::auditRecord).toList());
+        return answer;
+    }
+
+    private static Map<String, Object> refusedSheet(Acceptance.Refused refused) {
+        return Map.of(
+                "version", refused.version(),
+                "source", refused.source(),
+                "faults", refused.faults().stream().map(Object::toString).toList());
+    }
+
+    private static Map<String, Object> auditRecord(AuditRecord record) {
+        return Map.of(
+                "version", record.version().value(),
+                "previous", record.previous().value(),
+                "digest", record.digest(),
+                "source", record.source(),
+                "atMillis", record.atMillis(),
+                "changes", record.changes().stream().map(Object::toString).toList());
+    }
+
     private Object explain(Query query) {
         if (!query.parameter("request").isEmpty()) {
             RequestId id = new RequestId(query.parameter("request"));
@@ -234,7 +262,8 @@
             return Map.of("error", "The sheet in force lists no route \"" + id + "\".");
         }
         List<String> servers = route.backendServers().stream()
-                .map(s -> s + " " + fleet.now().sheet().backendServers().get(s).state().sheetName())
+                .map(s -> s + " "
+                        + fleet.now().sheet().backendServers().get(s).state().sheetName())
                 .toList();
         return Map.of(
                 "route", id.value(),
--- a/guavathread-router/src/main/java/org/guavathread/router/admin/AdminServer.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/admin/AdminServer.java
@@ -15,7 +15,9 @@
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.router.metrics.RouterMetrics;
 import org.guavathread.router.supervisor.Supervised;
+import org.tinylog.Logger;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
 /**
@@ -29,6 +31,7 @@
 
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int STATUS_OK = 200;
+    private static final int STATUS_FAILED = 500;
     private static final int STATUS_UNAVAILABLE = 503;
 
     private final SocketAddressText listen;
@@ -120,9 +123,16 @@
                 write(response, 404, "application/json", JSON.writeValueAsBytes(error));
                 return;
             }
-            Object result = page.apply(name -> request.getParameter(name) == null ? "" : request.getParameter(name));
-            int status = result instanceof Probe probe && !probe.ok() ? STATUS_UNAVAILABLE : STATUS_OK;
-            write(response, status, "application/json", JSON.writeValueAsBytes(result));
+            try {
+                Object result =
+                        page.apply(name -> request.getParameter(name) == null ? "" : request.getParameter(name));
+                int status = result instanceof Probe probe && !probe.ok() ? STATUS_UNAVAILABLE : STATUS_OK;
+                write(response, status, "application/json", JSON.writeValueAsBytes(result));
+            } catch (RuntimeException | JsonProcessingException e) {
+                Logger.error(e, "The admin page {} failed.", request.getRequestURI());
+                byte[] error = JSON.writeValueAsBytes(Map.of("error", "The page failed; the log names the cause."));
+                write(response, STATUS_FAILED, "application/json", error);
+            }
         }
 
         private void write(Response response, int status, String type, byte[] body) throws IOException {
--- a/guavathread-router/src/main/java/org/guavathread/router/fleet/FleetState.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/fleet/FleetState.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 
+import org.guavathread.core.id.HostEpoch;
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.id.Incarnation;
 import org.guavathread.core.key.KeyRing;
@@ -41,7 +42,7 @@
     }
 
     /**
-     * Registers what runs after each change of the sheet, on the thread that changes it.
+     * Registers what runs after each change of the sheet or of the host epoch, on the thread that changes it.
      *
      * @param listener must return soon
      */
@@ -78,7 +79,12 @@
             Map<HostId, Incarnation> incarnations,
             List<Host> earlierWitnesses) {
         unlistedHosts = List.copyOf(earlierWitnesses);
+        HostEpoch before = snapshot.epochs().current().epoch();
         snapshot = new FleetSnapshot(snapshot.sheet(), snapshot.keys(), epochs, suspect, draining, incarnations);
+        if (!epochs.current().epoch().equals(before)) {
+            // A started host learns the number of its epoch from other hosts, after its sheet.
+            sheetListeners.forEach(Runnable::run);
+        }
     }
 
     /**
@@ -103,7 +109,8 @@
 
     @Override
     public boolean accepts(HostId host, String ip) {
-        return !snapshot.hasSheet() || find(host).filter(h -> h.peers().ip().equals(ip)).isPresent();
+        return !snapshot.hasSheet()
+                || find(host).filter(h -> h.peers().ip().equals(ip)).isPresent();
     }
 
     private Optional<Host> find(HostId host) {
--- a/guavathread-router/src/main/java/org/guavathread/router/log/Logs.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/log/Logs.java
@@ -19,5 +19,7 @@
         Configuration.set("writer", "json console");
         Configuration.set("level", level);
         Configuration.set("autoshutdown", "true");
+        // Grizzly logs each listener through java.util.logging as plain text, which is not structured.
+        java.util.logging.Logger.getLogger("org.glassfish.grizzly").setLevel(java.util.logging.Level.WARNING);
     }
 }
--- a/guavathread-router/src/main/java/org/guavathread/router/service/ConfigurationService.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/service/ConfigurationService.java
@@ -115,8 +115,7 @@
         this.metrics = metrics;
         this.random = random;
         this.clock = clock;
-        this.duty = supervisor.add(
-                new Duty<>("config", State::new, supervisor, clock).every(TICK_MILLIS, this::tick));
+        this.duty = supervisor.add(new Duty<>("config", State::new, supervisor, clock).every(TICK_MILLIS, this::tick));
     }
 
     /**
@@ -125,10 +124,13 @@
      * @param router passes messages on
      */
     public void register(PeerRouter router) {
-        router.on(SheetOffer.class, (from, offer, reply) -> duty.offer(
-                state -> perform(state, state.spread.onOffer(from, offer, clock.nowMillis()))));
-        router.on(SheetRequest.class, (from, request, reply) ->
-                duty.offer(state -> reply.accept(state.spread.onRequest(request))));
+        router.on(
+                SheetOffer.class,
+                (from, offer, reply) ->
+                        duty.offer(state -> perform(state, state.spread.onOffer(from, offer, clock.nowMillis()))));
+        router.on(
+                SheetRequest.class,
+                (from, request, reply) -> duty.offer(state -> reply.accept(state.spread.onRequest(request))));
     }
 
     /**
@@ -214,8 +216,10 @@
     private void readHostList() {
         hostList.hosts(clock.nowMillis() + ANSWER_TIMEOUT_MILLIS).thenAccept(hosts -> {
             fleet.bootstrapHosts(hosts);
-            List<HostId> others =
-                    hosts.stream().map(ListedHost::id).filter(h -> !h.equals(self)).toList();
+            List<HostId> others = hosts.stream()
+                    .map(ListedHost::id)
+                    .filter(h -> !h.equals(self))
+                    .toList();
             duty.offer(state -> state.spread.hostList(others));
         });
     }
@@ -252,16 +256,17 @@
         long deadlineMillis = clock.nowMillis() + CALL_MARGIN_MILLIS;
         Map<String, CompletableFuture<Optional<ConfigValue>>> calls = new HashMap<>();
         manifest.parts().forEach(name -> calls.put(name, service.read(name, deadlineMillis)));
-        CompletableFuture.allOf(calls.values().toArray(CompletableFuture[]::new)).whenComplete((done, failure) -> {
-            Map<String, byte[]> documents = new HashMap<>();
-            calls.forEach((name, call) -> {
-                if (!call.isCompletedExceptionally()) {
-                    call.join().ifPresent(value -> documents.put(name, value.body()));
-                }
-            });
-            duty.offer(state ->
-                    perform(state, state.spread.onServiceParts(manifest, documents, clock.nowMillis())));
-        });
+        CompletableFuture.allOf(calls.values().toArray(CompletableFuture[]::new))
+                .whenComplete((done, failure) -> {
+                    Map<String, byte[]> documents = new HashMap<>();
+                    calls.forEach((name, call) -> {
+                        if (!call.isCompletedExceptionally()) {
+                            call.join().ifPresent(value -> documents.put(name, value.body()));
+                        }
+                    });
+                    duty.offer(state ->
+                            perform(state, state.spread.onServiceParts(manifest, documents, clock.nowMillis())));
+                });
     }
 
     private void send(HostId to, PeerMessage message) {
--- a/guavathread-router/src/main/java/org/guavathread/router/service/EngineMonitor.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/service/EngineMonitor.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 import org.guavathread.core.id.BackendServerId;
@@ -28,6 +27,7 @@
 import org.guavathread.router.backend.PrefillEngine;
 import org.guavathread.router.backend.PrefixEvent;
 import org.guavathread.router.fleet.FleetSnapshot;
+import org.guavathread.router.metrics.RouterMetrics;
 import org.tinylog.Logger;
 
 /** Reads load, prefix events and request lists of engines, and cancels requests that nobody waits for. */
@@ -39,10 +39,10 @@
 
     private final HostId self;
     private final BackendRegistry backends;
+    private final RouterMetrics metrics;
     private final Clock clock;
     private final Consumer<Consumer<PlacementService.State>> onDuty;
     private final OrphanSweep sweep;
-    private final AtomicLong orphansCancelled = new AtomicLong();
     private final Map<BackendServerId, EngineLoad> loads = new HashMap<>();
     private final Map<BackendServerId, Long> lastEvents = new HashMap<>();
     private final Set<BackendServerId> asked = new HashSet<>();
@@ -74,10 +74,12 @@
             HostId self,
             Incarnation incarnation,
             BackendRegistry backends,
+            RouterMetrics metrics,
             Clock clock,
             Consumer<Consumer<PlacementService.State>> onDuty) {
         this.self = self;
         this.backends = backends;
+        this.metrics = metrics;
         this.clock = clock;
         this.onDuty = onDuty;
         this.sweep = new OrphanSweep(self, incarnation);
@@ -99,10 +101,6 @@
         sweep.engineUsed(grant.decode(), nowMillis);
     }
 
-    long orphansCancelled() {
-        return orphansCancelled.get();
-    }
-
     List<Row> rows(PlacementService.State state) {
         List<Row> rows = new ArrayList<>();
         state.owner().engines().values().forEach(e -> rows.add(row(state, e)));
@@ -214,7 +212,7 @@
                 .toList();
         for (RequestId orphan : sweep.listed(id, requests, state.reservations()::expects, clock.nowMillis())) {
             Logger.info("Cancelling {} on {}: no host waits for it.", orphan, id);
-            orphansCancelled.incrementAndGet();
+            metrics.countOrphan();
             cancel(id, orphan);
         }
     }
--- a/guavathread-router/src/main/java/org/guavathread/router/service/PlacementService.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/service/PlacementService.java
@@ -37,6 +37,7 @@
 import org.guavathread.router.fleet.FleetSnapshot;
 import org.guavathread.router.fleet.FleetState;
 import org.guavathread.router.flow.RefusedException;
+import org.guavathread.router.metrics.RouterMetrics;
 import org.guavathread.router.peer.PeerNetwork;
 import org.guavathread.router.supervisor.Duty;
 import org.guavathread.router.supervisor.InboxFullException;
@@ -139,6 +140,7 @@
      * @param fleet what is known about the fleet
      * @param network the way to other hosts
      * @param backends the adapters of engines
+     * @param metrics counts cancelled requests
      * @param supervisor the supervisor
      * @param clock source of the time
      */
@@ -149,6 +151,7 @@
             FleetState fleet,
             PeerNetwork network,
             BackendRegistry backends,
+            RouterMetrics metrics,
             Supervisor supervisor,
             Clock clock) {
         this.self = self;
@@ -157,7 +160,7 @@
         this.fleet = fleet;
         this.network = network;
         this.clock = clock;
-        this.monitor = new EngineMonitor(self, incarnation, backends, clock, this::onDuty);
+        this.monitor = new EngineMonitor(self, incarnation, backends, metrics, clock, this::onDuty);
         this.duty = supervisor.add(new Duty<>("placement", State::new, supervisor, clock)
                 .every(TICK_MILLIS, this::tick)
                 .wakingAt(state -> state.owner.nextWakeAtMillis()));
@@ -285,15 +288,6 @@
         return duty.backlog();
     }
 
-    /**
-     * Gives how many engine requests were cancelled because nobody waited for them.
-     *
-     * @return the number since the start
-     */
-    public long orphansCancelled() {
-        return monitor.orphansCancelled();
-    }
-
     private boolean onDuty(Consumer<State> task) {
         return duty.offer(task);
     }
