Decide non-repeatable requests by votes on idempotency keys

Cause: a non-repeatable request must run at most once over resends, crashes and partitions, without a store and without a consensus group.

Change: add the claim messages, ClaimVoter and ClaimCoordinator, and a schedule simulator on a virtual clock with the scenario "claims". Voters report the earlier epochs that they know, so that a coordinator that restarted or skipped an epoch counts them too. An abort carries a barrier one clock difference after the last moment at which not_run is told.

--- /dev/null
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/claims/ClaimsScenario.java
@@ -0,0 +1,111 @@
+package org.guavathread.bench.claims;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.LongStream;
+
+import org.guavathread.bench.Scenario;
+
+/** Compares designs of claims under random fault schedules, without faults, and with one dead host of seven. */
+public final class ClaimsScenario implements Scenario {
+
+    private static final int FAULT_SCHEDULES = 10_000;
+    private static final int QUIET_SCHEDULES = 100;
+
+    @Override
+    public String name() {
+        return "claims";
+    }
+
+    @Override
+    public String summary() {
+        return "double runs, false not_run and first-try answers of non-repeatable requests";
+    }
+
+    @Override
+    public List<Map<String, Object>> run(long seed) {
+        List<Map<String, Object>> rows = new ArrayList<>();
+        for (ClaimDesign design : ClaimDesign.values()) {
+            rows.add(row(design, seed));
+        }
+        return rows;
+    }
+
+    private static Map<String, Object> row(ClaimDesign design, long seed) {
+        Tally faults = Tally.of(firstSeed(seed), FAULT_SCHEDULES, s -> ScheduleSimulator.withRandomFaults(design, s));
+        Tally quiet =
+                Tally.of(firstSeed(seed), QUIET_SCHEDULES, s -> ScheduleSimulator.withoutFaults(design, s, false));
+        Tally oneDead =
+                Tally.of(firstSeed(seed), QUIET_SCHEDULES, s -> ScheduleSimulator.withoutFaults(design, s, true));
+        Map<String, Object> row = new LinkedHashMap<>();
+        row.put("design", design.name().toLowerCase(java.util.Locale.ROOT));
+        row.put("schedules", FAULT_SCHEDULES);
+        row.put("calls", faults.calls);
+        row.put("runs", faults.runs);
+        row.put("doubleRuns", faults.doubleRuns);
+        row.put("toldNotRun", faults.notRun);
+        row.put("falseNotRun", faults.falseNotRun);
+        row.put("answerFaults", faults.answerFaults);
+        row.put("firstFaultySeed", faults.firstFaultySeed);
+        row.put("firstTryNoFault", quiet.firstTryShare());
+        row.put("firstTryOneDead", oneDead.firstTryShare());
+        row.put("addedRoundTrips", quiet.roundTrips());
+        return row;
+    }
+
+    /** Keeps the schedules of different seeds apart. */
+    private static long firstSeed(long seed) {
+        return seed * 1_000_000;
+    }
+
+    private interface Maker {
+        ScheduleSimulator make(long seed);
+    }
+
+    private static final class Tally {
+        private long calls;
+        private long runs;
+        private long notRun;
+        private long doubleRuns;
+        private long falseNotRun;
+        private long answerFaults;
+        private long firstTries;
+        private long firstTriesAnswered;
+        private long dispatches;
+        private long dispatchMillis;
+        private long firstFaultySeed = -1;
+
+        static Tally of(long firstSeed, int schedules, Maker maker) {
+            Tally tally = new Tally();
+            LongStream.range(firstSeed, firstSeed + schedules)
+                    .forEach(s -> tally.add(s, maker.make(s).run()));
+            return tally;
+        }
+
+        private void add(long seed, ScheduleResult result) {
+            calls += result.calls();
+            runs += result.runs();
+            notRun += result.notRun();
+            doubleRuns += result.doubleRuns().size();
+            falseNotRun += result.falseNotRun().size();
+            answerFaults += result.answerFaults().size();
+            firstTries += result.firstTries();
+            firstTriesAnswered += result.firstTriesAnswered();
+            dispatches += result.dispatchMillis().size();
+            dispatchMillis += result.dispatchMillis().stream().mapToLong(m -> m).sum();
+            if (firstFaultySeed < 0 && !result.isCorrect()) {
+                firstFaultySeed = seed;
+            }
+        }
+
+        private double firstTryShare() {
+            return (double) firstTriesAnswered / firstTries;
+        }
+
+        private double roundTrips() {
+            return (double) dispatchMillis / dispatches / (2.0 * SimNetwork.BASE_DELAY_MILLIS);
+        }
+    }
+}
--- /dev/null
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/claims/ScheduleSimulator.java
@@ -0,0 +1,380 @@
+package org.guavathread.bench.claims;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+
+import org.guavathread.core.claim.ClaimAbort;
+import org.guavathread.core.claim.ClaimAbortReply;
+import org.guavathread.core.claim.ClaimKey;
+import org.guavathread.core.claim.ClaimReply;
+import org.guavathread.core.claim.ClaimSettings;
+import org.guavathread.core.claim.IssueTimes;
+import org.guavathread.core.id.DataCentreId;
+import org.guavathread.core.id.HostEpoch;
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.id.IdempotencyKey;
+import org.guavathread.core.id.RouteId;
+import org.guavathread.core.id.WorkspaceId;
+import org.guavathread.core.membership.EpochMembers;
+import org.guavathread.core.message.PeerMessage;
+import org.guavathread.core.sheet.AdminState;
+import org.guavathread.core.sheet.Host;
+import org.guavathread.core.sheet.SocketAddressText;
+
+/**
+ * Runs one schedule of requests and faults on a virtual clock and checks the promises of claims.
+ *
+ * <pre>{@code
+ * ScheduleResult result = ScheduleSimulator.withRandomFaults(ClaimDesign.CHOSEN, 7).run();
+ * }</pre>
+ */
+public final class ScheduleSimulator {
+
+    static final long ROUTE_TIMEOUT_MILLIS = 2_500;
+
+    /** Short, so that claims, epochs and abstentions end within a schedule. */
+    private static final long RETENTION_MILLIS = 10_000;
+
+    private static final int MEMBERS = 7;
+    private static final int POOL = 9;
+    private static final int DATA_CENTRES = 4;
+    private static final long FAULTS_END_MILLIS = 20_000;
+    private static final long SCHEDULE_MILLIS = 50_000;
+    private static final long DEATH_MILLIS = 1_000;
+    private static final long CALLERS_NOTICE_MILLIS = 3_000;
+    /** Allows for the writing of the answer. */
+    private static final long ANSWER_MARGIN_MILLIS = 10;
+
+    private final ClaimDesign design;
+    private final FaultPlan plan;
+    private final SplittableRandom random;
+    private final VirtualTime time = new VirtualTime();
+    private final ClaimSettings settings;
+    private final SimNetwork network;
+    private final List<EpochMembers> published = new ArrayList<>();
+    private final Map<HostId, SimHost> hosts = new LinkedHashMap<>();
+    private final Map<HostId, Long> deadSinceMillis = new HashMap<>();
+    private final List<SimCaller> callers = new ArrayList<>();
+    private final Map<ClaimKey, List<SimCall>> runs = new HashMap<>();
+    private final int keys;
+    private final boolean insistent;
+    private final boolean oneDies;
+
+    private ScheduleSimulator(ClaimDesign design, FaultPlan plan, SplittableRandom random, int keys, boolean oneDies) {
+        this.design = design;
+        this.plan = plan;
+        this.random = random;
+        this.keys = keys;
+        this.insistent = plan.backendFaultShare() + plan.kills() + plan.lossShare() > 0 || plan.maxSkewMillis() > 0;
+        this.oneDies = oneDies;
+        this.settings = ClaimSettings.defaults(RETENTION_MILLIS).withVoterCount(design.voterCount());
+        this.network = new SimNetwork(time, random, plan);
+        List<Host> pool = new ArrayList<>();
+        for (int i = 0; i < POOL; i++) {
+            pool.add(host(i));
+        }
+        published.add(new EpochMembers(new HostEpoch(1), pool.subList(0, MEMBERS)));
+        for (Host host : pool) {
+            long offset = plan.maxSkewMillis() == 0 ? 0 : random.nextInt(plan.maxSkewMillis() + 1);
+            hosts.put(host.id(), new SimHost(this, host.id(), offset, random.split()));
+        }
+    }
+
+    /**
+     * Prepares a schedule with random faults.
+     *
+     * @param design the design to run
+     * @param seed seed of the schedule
+     * @return the schedule
+     */
+    public static ScheduleSimulator withRandomFaults(ClaimDesign design, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        return new ScheduleSimulator(design, FaultPlan.random(random), random, 8, false);
+    }
+
+    /**
+     * Prepares a schedule without faults, in which callers send each request once.
+     *
+     * @param design the design to run
+     * @param seed seed of the schedule
+     * @param oneDies whether one of the 7 hosts dies and stays dead; requests are then sent from 3 s after its death
+     * @return the schedule
+     */
+    public static ScheduleSimulator withoutFaults(ClaimDesign design, long seed, boolean oneDies) {
+        return new ScheduleSimulator(design, FaultPlan.none(), new SplittableRandom(seed), 100, oneDies);
+    }
+
+    /**
+     * Runs the schedule.
+     *
+     * @return what was seen
+     */
+    public ScheduleResult run() {
+        planFaults();
+        long start = oneDies ? DEATH_MILLIS + CALLERS_NOTICE_MILLIS : 0;
+        for (int i = 0; i < keys; i++) {
+            long at = start + random.nextInt((int) (FAULTS_END_MILLIS - start));
+            planCaller(i, at);
+        }
+        time.runUntil(SCHEDULE_MILLIS);
+        return result();
+    }
+
+    private void planCaller(int number, long atMillis) {
+        long issuedAt = IssueTimes.UNKNOWN;
+        if (random.nextDouble() < plan.issueTimeShare()) {
+            long lead = plan.maxSkewMillis() == 0 ? 0 : random.nextInt(3_000) - 1_500;
+            issuedAt = SimHost.BASE_MILLIS + atMillis + lead - random.nextInt(1 + (insistent ? 2_000 : 0));
+        }
+        ClaimKey key = new ClaimKey(new WorkspaceId("w1"), new RouteId("booking"), new IdempotencyKey("k" + number));
+        SimCaller caller = new SimCaller(this, random.split(), key, issuedAt, insistent);
+        callers.add(caller);
+        time.at(atMillis, caller::start);
+    }
+
+    private void planFaults() {
+        List<SimHost> all = List.copyOf(hosts.values());
+        if (oneDies) {
+            time.at(DEATH_MILLIS, () -> kill(all.get(0)));
+        }
+        for (int i = 0; i < plan.kills(); i++) {
+            SimHost host = all.get(random.nextInt(all.size()));
+            long at = faultTime();
+            time.at(at, () -> kill(host));
+            if (random.nextInt(5) > 0) {
+                time.at(at + 50 + random.nextInt(6_000), () -> {
+                    host.restart();
+                    deadSinceMillis.remove(host.id());
+                });
+            }
+        }
+        for (int i = 0; i < plan.pauses(); i++) {
+            SimHost host = all.get(random.nextInt(all.size()));
+            long millis = 50 + random.nextInt(random.nextBoolean() ? 1_000 : 6_000);
+            time.at(faultTime(), () -> host.pause(millis));
+        }
+        for (int i = 0; i < plan.partitions(); i++) {
+            Set<HostId> group = new HashSet<>();
+            all.stream().filter(h -> random.nextBoolean()).forEach(h -> group.add(h.id()));
+            long at = faultTime();
+            time.at(at, () -> network.cutOff(group));
+            time.at(at + 500 + random.nextInt(14_000), () -> network.cutOff(Set.of()));
+        }
+        long at = 0;
+        for (int i = 1; i <= plan.epochChanges(); i++) {
+            at += 200 + random.nextInt(8_000);
+            publish(i, at, all);
+        }
+    }
+
+    private void publish(int index, long atMillis, List<SimHost> all) {
+        Set<HostId> members = new HashSet<>();
+        published.get(index - 1).hosts().forEach(h -> members.add(h.id()));
+        for (int i = 0; i <= random.nextInt(3); i++) {
+            HostId toggled = all.get(random.nextInt(all.size())).id();
+            if (!members.add(toggled) && members.size() > 3) {
+                members.remove(toggled);
+            }
+        }
+        List<Host> next = new ArrayList<>();
+        for (int i = 0; i < POOL; i++) {
+            if (members.contains(host(i).id())) {
+                next.add(host(i));
+            }
+        }
+        published.add(new EpochMembers(new HostEpoch(1 + index), next));
+        for (SimHost host : all) {
+            long delay = random.nextInt(random.nextInt(5) == 0 ? 15_000 : 2_000);
+            time.at(atMillis + delay, () -> host.learn(index));
+        }
+    }
+
+    private long faultTime() {
+        return random.nextInt((int) FAULTS_END_MILLIS);
+    }
+
+    private void kill(SimHost host) {
+        host.kill();
+        deadSinceMillis.putIfAbsent(host.id(), time.nowMillis());
+    }
+
+    private static Host host(int number) {
+        SocketAddressText address = new SocketAddressText("127.0.0.1", 8_000 + number);
+        DataCentreId dataCentre = new DataCentreId("dc" + number % DATA_CENTRES);
+        return new Host(new HostId("h" + number), dataCentre, address, address, address, AdminState.ACTIVE);
+    }
+
+    ClaimDesign design() {
+        return design;
+    }
+
+    ClaimSettings settings() {
+        return settings;
+    }
+
+    VirtualTime time() {
+        return time;
+    }
+
+    List<EpochMembers> published() {
+        return published;
+    }
+
+    EpochMembers newestReachable(HostId from) {
+        EpochMembers newest = published.get(0);
+        for (SimHost host : hosts.values()) {
+            boolean answers = host.isUp() && !host.isPaused() && network.connects(from, host.id());
+            if (answers && host.epochs().current().epoch().isNewerThan(newest.epoch())) {
+                newest = host.epochs().current();
+            }
+        }
+        return newest;
+    }
+
+    Map<HostId, EpochMembers> witnessesReachableFrom(HostId from) {
+        Map<HostId, EpochMembers> reachable = new HashMap<>();
+        for (SimHost host : hosts.values()) {
+            if (host.answersAsWitness() && network.connects(from, host.id())) {
+                reachable.put(host.id(), host.epochs().current());
+            }
+        }
+        return reachable;
+    }
+
+    void send(HostId from, HostId to, PeerMessage message) {
+        network.send(from, to, () -> hosts.get(to).receive(from, message));
+    }
+
+    /** Connects a caller to a host; it tries another one at once when a connection is refused. */
+    void connect(SimCall call) {
+        List<SimHost> listed = new ArrayList<>(hosts.values());
+        listed.removeIf(h ->
+                deadSinceMillis.getOrDefault(h.id(), time.nowMillis()) + CALLERS_NOTICE_MILLIS <= time.nowMillis());
+        while (!listed.isEmpty()) {
+            SimHost host = listed.remove(random.nextInt(listed.size()));
+            if (host.isUp()) {
+                time.after(network.delayMillis(), () -> {
+                    if (host.isUp()) {
+                        host.receive(call);
+                    }
+                });
+                return;
+            }
+        }
+    }
+
+    long chargeMillis() {
+        boolean slow = random.nextDouble() < plan.slowShare();
+        return slow ? random.nextInt(2_500) : insistent ? random.nextInt(10) : 0;
+    }
+
+    boolean withdraws() {
+        return random.nextDouble() < plan.withdrawShare();
+    }
+
+    /** Runs a request on the backend server, whatever happens to the host that sent it. */
+    void runOnBackend(SimCall call, Consumer<byte[]> onAnswer, Runnable onFailure) {
+        boolean faulty = random.nextDouble() < plan.backendFaultShare();
+        time.after(faulty ? random.nextInt(3_000) : 1, () -> {
+            runs.computeIfAbsent(call.key(), k -> new ArrayList<>()).add(call);
+            if (faulty && random.nextBoolean()) {
+                time.after(ROUTE_TIMEOUT_MILLIS, onFailure);
+                return;
+            }
+            byte[] answer = call.key().toString().getBytes();
+            time.after(5 + random.nextInt(50), () -> onAnswer.accept(answer));
+        });
+    }
+
+    ClaimReply altered(ClaimReply reply) {
+        if (design != ClaimDesign.NO_REPORTED_EPOCHS) {
+            return reply;
+        }
+        return new ClaimReply(
+                reply.key(),
+                reply.attempt(),
+                reply.asked(),
+                reply.vote(),
+                reply.holder(),
+                reply.barrierMillis(),
+                reply.voterIncarnation(),
+                reply.epoch(),
+                List.of(),
+                reply.outcome());
+    }
+
+    ClaimAbort altered(ClaimAbort abort) {
+        if (design != ClaimDesign.NO_BARRIER || abort.barrierMillis() == ClaimAbort.RELEASE_ONLY) {
+            return abort;
+        }
+        return new ClaimAbort(abort.key(), abort.attempt(), abort.epoch(), abort.keyIssuedAtMillis(), 1);
+    }
+
+    ClaimAbortReply altered(ClaimAbortReply reply, long askedBarrierMillis) {
+        return new ClaimAbortReply(
+                reply.key(),
+                reply.attempt(),
+                reply.asked(),
+                askedBarrierMillis,
+                reply.vote(),
+                reply.epoch(),
+                design == ClaimDesign.NO_REPORTED_EPOCHS ? List.of() : reply.earlier(),
+                reply.outcome());
+    }
+
+    private ScheduleResult result() {
+        List<String> doubleRuns = new ArrayList<>();
+        List<String> falseNotRun = new ArrayList<>();
+        List<String> answerFaults = new ArrayList<>();
+        List<Long> dispatchMillis = new ArrayList<>();
+        int reached = 0;
+        int notRun = 0;
+        int answeredFirst = 0;
+        for (SimCaller caller : callers) {
+            answeredFirst += caller.calls().get(0).end() == SimCall.End.ANSWERED ? 1 : 0;
+            for (SimCall call : caller.calls()) {
+                reached += call.hasReached() ? 1 : 0;
+                notRun += call.wasToldNotRun() ? 1 : 0;
+                String fault = call.answerFault(ROUTE_TIMEOUT_MILLIS + settings.confirmMillis() + ANSWER_MARGIN_MILLIS);
+                if (fault != null) {
+                    answerFaults.add(fault);
+                }
+                if (call.dispatchMillis() >= 0) {
+                    dispatchMillis.add(call.dispatchMillis());
+                }
+                if (call.wasToldNotRun() && ranBefore(call)) {
+                    falseNotRun.add(call.key() + " told at " + call.notRunToldAtMillis());
+                }
+            }
+        }
+        runs.forEach((key, calls) -> {
+            if (calls.size() > 1) {
+                doubleRuns.add(key + " ran " + calls.size() + " times");
+            }
+        });
+        int ran = runs.values().stream().mapToInt(List::size).sum();
+        return new ScheduleResult(
+                reached,
+                callers.size(),
+                answeredFirst,
+                ran,
+                notRun,
+                dispatchMillis,
+                doubleRuns,
+                falseNotRun,
+                answerFaults);
+    }
+
+    /** Tells whether a send ran, or ran later, that had reached its host when another send was told not_run. */
+    private boolean ranBefore(SimCall told) {
+        return runs.getOrDefault(told.key(), List.of()).stream()
+                .anyMatch(run -> run.reachedAtMillis() <= told.notRunToldAtMillis());
+    }
+}
--- /dev/null
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/claims/SimHost.java
@@ -0,0 +1,283 @@
+package org.guavathread.bench.claims;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import org.guavathread.core.claim.AttemptIds;
+import org.guavathread.core.claim.AttemptLog;
+import org.guavathread.core.claim.ClaimAbort;
+import org.guavathread.core.claim.ClaimAbortReply;
+import org.guavathread.core.claim.ClaimAction;
+import org.guavathread.core.claim.ClaimCall;
+import org.guavathread.core.claim.ClaimCoordinator;
+import org.guavathread.core.claim.ClaimKey;
+import org.guavathread.core.claim.ClaimOutcome;
+import org.guavathread.core.claim.ClaimReply;
+import org.guavathread.core.claim.ClaimRequest;
+import org.guavathread.core.claim.ClaimVoter;
+import org.guavathread.core.claim.OutcomeQuery;
+import org.guavathread.core.claim.OutcomeReply;
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.id.Incarnation;
+import org.guavathread.core.message.PeerMessage;
+import org.guavathread.core.request.Refusal;
+import org.guavathread.core.request.RefusalCode;
+
+/** A host of a schedule: a voter, its coordinators, and the shell around them. */
+final class SimHost {
+
+    /** Real time 0 of a schedule on the clock of a host without skew, in milliseconds since the epoch. */
+    static final long BASE_MILLIS = 1_800_000_000_000L;
+
+    private static final long LONG_AGO_MILLIS = 3_600_000;
+
+    private final ScheduleSimulator simulator;
+    private final HostId id;
+    private final long clockOffsetMillis;
+    private final SplittableRandom random;
+    private final Map<SimCall, ClaimCoordinator> coordinators = new LinkedHashMap<>();
+
+    private int life;
+    private boolean up;
+    private long pausedUntilMillis;
+    private long pauseStartMillis;
+    private long startedAtMillis;
+    private SimEpochs epochs;
+    private ClaimVoter voter;
+    private AttemptLog log;
+    private AttemptIds ids;
+
+    SimHost(ScheduleSimulator simulator, HostId id, long clockOffsetMillis, SplittableRandom random) {
+        this.simulator = simulator;
+        this.id = id;
+        this.clockOffsetMillis = clockOffsetMillis;
+        this.random = random;
+        start(-LONG_AGO_MILLIS, SimEpochs.longSettled(simulator.published(), clock() - LONG_AGO_MILLIS, clock()));
+    }
+
+    HostId id() {
+        return id;
+    }
+
+    boolean isUp() {
+        return up;
+    }
+
+    boolean answersAsWitness() {
+        return up && simulator.time().nowMillis() >= Math.max(pausedUntilMillis, startedAtMillis + 10_000);
+    }
+
+    boolean isPaused() {
+        return simulator.time().nowMillis() < pausedUntilMillis;
+    }
+
+    SimEpochs epochs() {
+        return epochs;
+    }
+
+    private long clock() {
+        return BASE_MILLIS + simulator.time().nowMillis() + clockOffsetMillis;
+    }
+
+    private void start(long atMillis, SimEpochs known) {
+        up = true;
+        startedAtMillis = atMillis;
+        epochs = known;
+        long startClock = BASE_MILLIS + atMillis + clockOffsetMillis;
+        boolean forgets = simulator.design().abstainsAfterRestart();
+        Incarnation incarnation = new Incarnation(startClock);
+        voter = new ClaimVoter(id, incarnation, forgets ? startClock : 0, simulator.settings());
+        log = new AttemptLog(simulator.settings());
+        ids = new AttemptIds(id, incarnation, random);
+        voter.observe(epochs.view(), clock());
+        int thisLife = life;
+        simulator.time().after(1 + random.nextInt((int) SimEpochs.PING_MILLIS), () -> ping(thisLife));
+    }
+
+    void kill() {
+        up = false;
+        life++;
+        pausedUntilMillis = 0;
+        coordinators.keySet().forEach(SimCall::hostDied);
+        coordinators.clear();
+    }
+
+    void restart() {
+        if (!up) {
+            SimEpochs fresh = new SimEpochs(simulator.published(), simulator.newestReachable(id), clock());
+            start(simulator.time().nowMillis(), fresh);
+        }
+    }
+
+    void pause(long millis) {
+        if (up && !isPaused()) {
+            pauseStartMillis = simulator.time().nowMillis();
+            pausedUntilMillis = pauseStartMillis + millis;
+            coordinators.keySet().forEach(SimCall::hostPaused);
+        }
+    }
+
+    /** Runs a task of the current life, after the end of a pause. */
+    private void whenAwake(int ofLife, Runnable task) {
+        if (!up || life != ofLife) {
+            return;
+        }
+        if (isPaused()) {
+            simulator.time().at(pausedUntilMillis, () -> whenAwake(ofLife, task));
+            return;
+        }
+        task.run();
+    }
+
+    private void ping(int ofLife) {
+        whenAwake(ofLife, () -> {
+            epochs.ping(simulator.witnessesReachableFrom(id), clock());
+            viewChanged();
+            simulator.time().after(SimEpochs.PING_MILLIS, () -> ping(ofLife));
+        });
+    }
+
+    void learn(int publishedIndex) {
+        whenAwake(life, () -> {
+            epochs.adopt(simulator.published().get(publishedIndex), clock());
+            viewChanged();
+        });
+    }
+
+    private void viewChanged() {
+        voter.observe(epochs.view(), clock());
+        for (SimCall call : new ArrayList<>(coordinators.keySet())) {
+            perform(call, coordinators.get(call).timer(epochs.view(), clock()));
+        }
+    }
+
+    /** Takes a request. One that reached the socket during a pause counts as arrived when the pause began. */
+    void receive(SimCall call) {
+        boolean waited = isPaused();
+        if (waited) {
+            call.hostPaused();
+        }
+        long arrivedAt = waited ? BASE_MILLIS + pauseStartMillis + clockOffsetMillis : clock();
+        int thisLife = life;
+        call.reached(id, () -> life == thisLife && up);
+        whenAwake(thisLife, () -> {
+            ClaimCall claimCall = new ClaimCall(
+                    call.key(),
+                    arrivedAt,
+                    call.keyIssuedAtMillis(),
+                    arrivedAt + ScheduleSimulator.ROUTE_TIMEOUT_MILLIS);
+            ClaimCoordinator coordinator = new ClaimCoordinator(claimCall, ids, log, simulator.settings(), random);
+            coordinators.put(call, coordinator);
+            perform(call, coordinator.start(epochs.view(), clock()));
+        });
+    }
+
+    void receive(HostId from, PeerMessage message) {
+        whenAwake(life, () -> handle(from, message));
+    }
+
+    private void handle(HostId from, PeerMessage message) {
+        if (message instanceof ClaimRequest request) {
+            reply(from, simulator.altered(voter.onRequest(request, epochs.view(), clock())));
+        } else if (message instanceof ClaimAbort abort) {
+            ClaimAbort altered = simulator.altered(abort);
+            Optional<ClaimAbortReply> reply = voter.onAbort(altered, epochs.view(), clock());
+            reply.ifPresent(r -> reply(from, simulator.altered(r, abort.barrierMillis())));
+        } else if (message instanceof ClaimOutcome outcome) {
+            voter.onOutcome(outcome, clock());
+        } else if (message instanceof OutcomeQuery query) {
+            reply(from, query.toHolder() ? log.answer(query) : voter.onQuery(query, clock()));
+        } else {
+            ClaimKey key = keyOf(message);
+            for (SimCall call : new ArrayList<>(coordinators.keySet())) {
+                if (call.key().equals(key)) {
+                    perform(call, coordinators.get(call).reply(from, message, epochs.view(), clock()));
+                }
+            }
+        }
+    }
+
+    private static ClaimKey keyOf(PeerMessage message) {
+        if (message instanceof ClaimReply reply) {
+            return reply.key();
+        }
+        return message instanceof ClaimAbortReply reply ? reply.key() : ((OutcomeReply) message).key();
+    }
+
+    private void reply(HostId to, PeerMessage message) {
+        simulator.send(id, to, message);
+    }
+
+    private void perform(SimCall call, List<ClaimAction> actions) {
+        int thisLife = life;
+        for (ClaimAction action : actions) {
+            if (action instanceof ClaimAction.Send send) {
+                simulator.send(id, send.to(), send.message());
+            } else if (action instanceof ClaimAction.WaitUntil wait) {
+                long delay = wait.atMillis() - clock();
+                later(call, thisLife, delay, c -> c.timer(epochs.view(), clock()));
+            } else if (action instanceof ClaimAction.Dispatch dispatch) {
+                call.granted(simulator.time().nowMillis());
+                later(call, thisLife, simulator.chargeMillis(), this.dispatchOf(call, dispatch));
+            } else if (action instanceof ClaimAction.Refuse refuse) {
+                simulator
+                        .time()
+                        .after(
+                                random.nextInt(2),
+                                () -> whenAwake(thisLife, () -> {
+                                    call.refused(refuse.at(clock()));
+                                }));
+            } else if (action instanceof ClaimAction.Relay relay) {
+                simulator.time().after(random.nextInt(2), () -> whenAwake(thisLife, () -> call.answered(relay)));
+            }
+        }
+        ClaimCoordinator coordinator = coordinators.get(call);
+        if (coordinator != null && coordinator.isEnded()) {
+            coordinators.remove(call);
+        }
+    }
+
+    private interface Step {
+        List<ClaimAction> on(ClaimCoordinator coordinator);
+    }
+
+    private void later(SimCall call, int ofLife, long delay, Step step) {
+        simulator
+                .time()
+                .after(
+                        delay,
+                        () -> whenAwake(ofLife, () -> {
+                            ClaimCoordinator coordinator = coordinators.get(call);
+                            if (coordinator != null) {
+                                perform(call, step.on(coordinator));
+                            }
+                        }));
+    }
+
+    private Step dispatchOf(SimCall call, ClaimAction.Dispatch dispatch) {
+        return coordinator -> {
+            if (!coordinator.mayDispatch(epochs.view(), clock())) {
+                return coordinator.timer(epochs.view(), clock());
+            }
+            if (simulator.withdraws()) {
+                Refusal refusal = Refusal.notRun(RefusalCode.RATE_LIMITED, "The workspace has no budget left.");
+                return coordinator.withdraw(refusal, clock());
+            }
+            List<ClaimAction> actions = coordinator.dispatched(clock());
+            int thisLife = life;
+            simulator.runOnBackend(
+                    call,
+                    body -> later(call, thisLife, 0, c -> c.answered(200, body, clock())),
+                    () -> later(call, thisLife, 0, c -> c.failed(backendFailed(dispatch), clock())));
+            return actions;
+        };
+    }
+
+    private static Refusal backendFailed(ClaimAction.Dispatch dispatch) {
+        return Refusal.unknown(RefusalCode.OUTCOME_UNKNOWN, "No answer to " + dispatch.attempt() + ".");
+    }
+}
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/claim/AttemptState.java
@@ -0,0 +1,15 @@
+package org.guavathread.core.claim;
+
+/** What a host knows about an attempt. */
+public enum AttemptState {
+    /** A voter has recorded the attempt, or its coordinator is still gathering votes. */
+    CLAIMING,
+    /** The request was handed to the backend server. */
+    DISPATCHED,
+    /** The attempt ended and its outcome is known. */
+    ENDED,
+    /** The attempt was given up before any dispatch. */
+    ABORTED,
+    /** The host knows nothing about the attempt. */
+    NOT_KNOWN
+}
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/claim/ClaimAbortReply.java
@@ -0,0 +1,31 @@
+package org.guavathread.core.claim;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.guavathread.core.id.AttemptId;
+import org.guavathread.core.id.HostEpoch;
+import org.guavathread.core.message.PeerMessage;
+
+/**
+ * Answer of a voter to {@link ClaimAbort} with a barrier.
+ *
+ * @param key the key
+ * @param attempt the aborted attempt
+ * @param asked the epoch in which the coordinator asked
+ * @param barrierMillis the barrier that was asked for
+ * @param vote {@link ClaimVote#CONFIRMED}, or why the abort is not confirmed
+ * @param epoch the epoch of the voter
+ * @param earlier the voters of earlier epochs that count according to this voter
+ * @param outcome the outcome of another attempt, if the voter knows it
+ */
+public record ClaimAbortReply(
+        ClaimKey key,
+        AttemptId attempt,
+        HostEpoch asked,
+        long barrierMillis,
+        ClaimVote vote,
+        HostEpoch epoch,
+        List<EpochVoters> earlier,
+        Optional<ClaimOutcome> outcome)
+        implements PeerMessage {}
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/claim/ClaimTally.java
@@ -0,0 +1,92 @@
+package org.guavathread.core.claim;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+import org.guavathread.core.id.AttemptId;
+import org.guavathread.core.id.HostEpoch;
+import org.guavathread.core.id.HostId;
+
+/** Counts the votes of one round over the voters of every epoch that counts. */
+final class ClaimTally {
+
+    private final Map<HostEpoch, EpochVoters> groups = new LinkedHashMap<>();
+    private final Map<HostId, ClaimVote> votes = new HashMap<>();
+    private final Map<HostId, AttemptId> holders = new HashMap<>();
+
+    ClaimTally(List<EpochVoters> counting) {
+        addGroups(counting);
+    }
+
+    final void addGroups(List<EpochVoters> counting) {
+        counting.forEach(group -> groups.putIfAbsent(group.epoch(), group));
+    }
+
+    /** Notes a vote. A vote in favour stays, because the voter has recorded it for everybody else. */
+    void record(HostId voter, ClaimVote vote, Optional<AttemptId> holder) {
+        ClaimVote known = votes.get(voter);
+        if (known == ClaimVote.GRANTED || known == ClaimVote.CONFIRMED) {
+            return;
+        }
+        votes.put(voter, vote);
+        holders.remove(voter);
+        holder.ifPresent(h -> holders.put(voter, h));
+    }
+
+    List<EpochVoters> groups() {
+        return List.copyOf(groups.values());
+    }
+
+    Set<HostId> voters() {
+        Set<HostId> voters = new LinkedHashSet<>();
+        groups.values().forEach(group -> voters.addAll(group.voters()));
+        return voters;
+    }
+
+    /** Lists the voters that have not answered, or whose answer may change. */
+    List<HostId> open() {
+        return voters().stream()
+                .filter(v -> votes.get(v) == null || votes.get(v).mayChange() || votes.get(v) == ClaimVote.HELD)
+                .toList();
+    }
+
+    boolean has(ClaimVote vote) {
+        return votes.containsValue(vote);
+    }
+
+    /** Tells whether every epoch has a majority of one vote. */
+    boolean reached(ClaimVote vote) {
+        return groups.values().stream().allMatch(g -> count(g, v -> votes.get(v) == vote) >= g.majority());
+    }
+
+    /** Tells whether some epoch cannot reach a majority of one vote unless the given answers change. */
+    boolean blocked(ClaimVote wanted, Predicate<ClaimVote> mayTurn) {
+        return groups.values().stream()
+                .anyMatch(g -> count(g, v -> votes.get(v) == wanted || mayTurn.test(votes.get(v))) < g.majority());
+    }
+
+    /** Gives the attempt that holds the key at a majority of the voters of some epoch. */
+    Optional<AttemptId> majorityHolder() {
+        return holders.values().stream()
+                .distinct()
+                .filter(h ->
+                        groups.values().stream().anyMatch(g -> count(g, v -> h.equals(holders.get(v))) >= g.majority()))
+                .findFirst();
+    }
+
+    /** Tells whether the voters of a group form a majority of every epoch. */
+    boolean isMajority(Collection<HostId> some) {
+        return groups.values().stream().allMatch(g -> count(g, some::contains) >= g.majority());
+    }
+
+    private static long count(EpochVoters group, Predicate<HostId> which) {
+        return group.voters().stream().filter(which).count();
+    }
+}
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/claim/ClaimVoter.java
@@ -0,0 +1,325 @@
+package org.guavathread.core.claim;
+
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.guavathread.core.id.AttemptId;
+import org.guavathread.core.id.HostEpoch;
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.id.Incarnation;
+import org.guavathread.core.id.WorkspaceId;
+import org.guavathread.core.membership.EpochView;
+
+/**
+ * All votes of one host. A key goes to one attempt only, until the attempt is aborted or the retention has passed.
+ *
+ * <p>The memory is bounded. A voter that is full, or that is full for one workspace, gives no vote for new keys; it
+ * never drops a recorded claim. Answers are dropped oldest first; resends are then answered {@code unknown}.
+ */
+public final class ClaimVoter {
+
+    private static final long SWEEP_MILLIS = 1_000;
+
+    private final HostId self;
+    private final Incarnation incarnation;
+    private final ClaimSettings settings;
+    private final Map<ClaimKey, VoterEntry> entries = new HashMap<>();
+    private final Map<WorkspaceId, Integer> entriesByWorkspace = new HashMap<>();
+    private final AnswerStore answers;
+    private long memorySinceMillis;
+    private HostEpoch knownEpoch;
+    private long knownLeaseDeadlineMillis;
+    private boolean awaitsSettledEpoch;
+    private long nextSweepAtMillis;
+
+    /**
+     * Builds a voter with empty memory.
+     *
+     * @param self this host
+     * @param incarnation the run of this process
+     * @param memorySinceMillis when this memory began: the start of the process, or of the duty if the duty was
+     *     restarted within the process
+     * @param settings times and limits
+     */
+    public ClaimVoter(HostId self, Incarnation incarnation, long memorySinceMillis, ClaimSettings settings) {
+        this.self = self;
+        this.incarnation = incarnation;
+        this.memorySinceMillis = memorySinceMillis;
+        this.settings = settings;
+        this.answers = new AnswerStore(settings.maxAnswerBytes());
+    }
+
+    /**
+     * Notes what the host knows about epochs. To be called at each change of the view; the other methods call it too. A
+     * host that learns of a newer epoch after its lease ran out may have missed epochs in between, so its memory counts
+     * from when the newer epoch is settled.
+     *
+     * @param view what the host knows about epochs
+     * @param nowMillis the current time
+     */
+    public void observe(EpochView view, long nowMillis) {
+        HostEpoch epoch = view.current().epoch();
+        if (!epoch.equals(knownEpoch)) {
+            boolean leaseRan = knownEpoch != null && view.adoptedAtMillis() < knownLeaseDeadlineMillis;
+            awaitsSettledEpoch |= !leaseRan;
+            knownEpoch = epoch;
+            knownLeaseDeadlineMillis = view.leaseDeadlineMillis();
+        }
+        knownLeaseDeadlineMillis = Math.max(knownLeaseDeadlineMillis, view.leaseDeadlineMillis());
+        if (awaitsSettledEpoch && view.isSettled(nowMillis)) {
+            memorySinceMillis = Math.max(memorySinceMillis, view.settledAtMillis());
+            awaitsSettledEpoch = false;
+        }
+        sweep(nowMillis);
+    }
+
+    /**
+     * Votes on a claim.
+     *
+     * @param request the claim
+     * @param view what the host knows about epochs
+     * @param nowMillis the current time
+     * @return the vote
+     */
+    public ClaimReply onRequest(ClaimRequest request, EpochView view, long nowMillis) {
+        observe(view, nowMillis);
+        List<EpochVoters> counting = EpochVoters.counting(request.key(), view, settings, nowMillis);
+        ClaimVote vote = objection(request.epoch(), request.keyIssuedAtMillis(), counting, view, nowMillis);
+        VoterEntry entry = live(request.key(), nowMillis);
+        if (vote == null) {
+            vote = voteOn(request, entry, nowMillis);
+            entry = live(request.key(), nowMillis);
+        }
+        Optional<AttemptId> holder = entry == null ? Optional.empty() : entry.holder();
+        return new ClaimReply(
+                request.key(),
+                request.attempt(),
+                request.epoch(),
+                vote,
+                holder,
+                vote == ClaimVote.BARRED ? entry.barrierMillis() : 0,
+                incarnation,
+                view.current().epoch(),
+                counting.subList(1, counting.size()),
+                holder.flatMap(answers::get));
+    }
+
+    private ClaimVote voteOn(ClaimRequest request, VoterEntry entry, long nowMillis) {
+        long skew = settings.clockSkewMillis();
+        long arrivedAt = request.arrivedAtMillis();
+        if (nowMillis > arrivedAt + settings.dispatchMillis() + skew || arrivedAt > nowMillis + skew) {
+            return ClaimVote.LATE;
+        }
+        if (entry == null) {
+            entry = newEntry(request.key());
+            if (entry == null) {
+                return ClaimVote.FULL;
+            }
+        }
+        if (entry.isAborted(request.attempt())) {
+            return ClaimVote.ABORTED;
+        }
+        if (entry.holder().isPresent()) {
+            return entry.isHeldBy(request.attempt()) ? ClaimVote.GRANTED : ClaimVote.HELD;
+        }
+        if (arrivedAt <= entry.barrierMillis()) {
+            return ClaimVote.BARRED;
+        }
+        entry.grant(request.attempt(), nowMillis + settings.memoryMillis());
+        return ClaimVote.GRANTED;
+    }
+
+    /**
+     * Frees a key, and records the barrier if the abort has one.
+     *
+     * @param abort the abort
+     * @param view what the host knows about epochs
+     * @param nowMillis the current time
+     * @return the reply; empty if the abort only frees the key
+     */
+    public Optional<ClaimAbortReply> onAbort(ClaimAbort abort, EpochView view, long nowMillis) {
+        observe(view, nowMillis);
+        VoterEntry entry = live(abort.key(), nowMillis);
+        if (entry == null) {
+            entry = newEntry(abort.key());
+        }
+        if (entry != null) {
+            // Until then a late claim of the attempt could arrive; afterwards its dispatch deadline refuses it.
+            long forgetAt = nowMillis + settings.dispatchMillis() + 2 * settings.clockSkewMillis();
+            entry.abort(abort.attempt(), forgetAt);
+        }
+        if (abort.barrierMillis() == ClaimAbort.RELEASE_ONLY) {
+            return Optional.empty();
+        }
+        List<EpochVoters> counting = EpochVoters.counting(abort.key(), view, settings, nowMillis);
+        ClaimVote vote = objection(abort.epoch(), abort.keyIssuedAtMillis(), counting, view, nowMillis);
+        if (vote == null) {
+            vote = entry == null ? ClaimVote.FULL : confirm(abort, entry, nowMillis);
+        }
+        Optional<ClaimOutcome> outcome =
+                entry == null ? Optional.empty() : entry.holder().flatMap(answers::get);
+        return Optional.of(new ClaimAbortReply(
+                abort.key(),
+                abort.attempt(),
+                abort.epoch(),
+                abort.barrierMillis(),
+                vote,
+                view.current().epoch(),
+                counting.subList(1, counting.size()),
+                outcome));
+    }
+
+    private ClaimVote confirm(ClaimAbort abort, VoterEntry entry, long nowMillis) {
+        if (entry.holder().isPresent()) {
+            return ClaimVote.HELD;
+        }
+        // A coordinator whose clock runs far ahead must not block the key for long.
+        if (abort.barrierMillis() > nowMillis + settings.confirmMillis() + 2 * settings.clockSkewMillis()) {
+            return ClaimVote.LATE;
+        }
+        long arrivalsAreLateAt = abort.barrierMillis() + settings.dispatchMillis() + settings.clockSkewMillis();
+        entry.bar(abort.barrierMillis(), arrivalsAreLateAt);
+        return ClaimVote.CONFIRMED;
+    }
+
+    /**
+     * Stores the outcome of an attempt. A voter that does not know of the attempt, for example after a restart, records
+     * it as the holder: a request with an outcome has been dispatched.
+     *
+     * @param outcome the outcome
+     * @param nowMillis the current time
+     */
+    public void onOutcome(ClaimOutcome outcome, long nowMillis) {
+        VoterEntry entry = live(outcome.key(), nowMillis);
+        if (entry == null) {
+            entry = newEntry(outcome.key());
+        }
+        if (entry != null && entry.holder().isEmpty()) {
+            entry.grant(outcome.attempt(), nowMillis + settings.memoryMillis());
+        }
+        if (entry != null && entry.isHeldBy(outcome.attempt())) {
+            answers.put(outcome.attempt(), outcome);
+        }
+    }
+
+    /**
+     * Answers a query that is addressed to a voter.
+     *
+     * @param query the query
+     * @param nowMillis the current time
+     * @return the answer
+     */
+    public OutcomeReply onQuery(OutcomeQuery query, long nowMillis) {
+        VoterEntry entry = live(query.key(), nowMillis);
+        if (entry == null) {
+            return new OutcomeReply(query.key(), query.attempt(), false, AttemptState.NOT_KNOWN, Optional.empty());
+        }
+        Optional<ClaimOutcome> outcome = entry.holder().flatMap(answers::get);
+        AttemptState state = AttemptState.NOT_KNOWN;
+        if (entry.isHeldBy(query.attempt())) {
+            state = outcome.isPresent() ? AttemptState.ENDED : AttemptState.CLAIMING;
+        } else if (entry.isAborted(query.attempt())) {
+            state = AttemptState.ABORTED;
+        }
+        return new OutcomeReply(query.key(), query.attempt(), false, state, outcome);
+    }
+
+    /**
+     * Gives the number of recorded keys.
+     *
+     * @return at most {@link ClaimSettings#maxEntries}
+     */
+    public int size() {
+        return entries.size();
+    }
+
+    /**
+     * Gives the size of the kept answers.
+     *
+     * @return bytes, at most {@link ClaimSettings#maxAnswerBytes}
+     */
+    public long answerBytes() {
+        return answers.bytes();
+    }
+
+    private ClaimVote objection(
+            HostEpoch asked, long issuedAt, List<EpochVoters> counting, EpochView view, long nowMillis) {
+        if (view.current().epoch().isNewerThan(asked)) {
+            return ClaimVote.OLD_EPOCH;
+        }
+        if (asked.isNewerThan(view.current().epoch())) {
+            return ClaimVote.NOT_YET;
+        }
+        if (!view.holdsLease(nowMillis)) {
+            return ClaimVote.NO_LEASE;
+        }
+        boolean votesNow = counting.get(0).voters().contains(self);
+        boolean votedBefore = counting.stream().skip(1).anyMatch(e -> e.voters().contains(self));
+        if (!votesNow && !votedBefore) {
+            return ClaimVote.NOT_VOTER;
+        }
+        if (awaitsSettledEpoch || !votedBefore && !view.isSettled(nowMillis)) {
+            return ClaimVote.NOT_YET;
+        }
+        if (issuedAt != IssueTimes.UNKNOWN && issuedAt + settings.retentionMillis() <= nowMillis) {
+            return ClaimVote.EXPIRED;
+        }
+        return objectionOfMemory(issuedAt, nowMillis);
+    }
+
+    /**
+     * Votes are given for a key from {@code issueLeadMillis} before its time of issue at the earliest. A key that is
+     * at least that much younger than this memory was therefore never voted on by an earlier memory of this host,
+     * whatever the clocks of other hosts and callers show.
+     */
+    private ClaimVote objectionOfMemory(long issuedAt, long nowMillis) {
+        if (issuedAt == IssueTimes.UNKNOWN) {
+            return nowMillis >= memorySinceMillis + settings.memoryMillis() ? null : ClaimVote.ABSTAINED;
+        }
+        if (issuedAt > nowMillis + settings.issueLeadMillis()) {
+            return ClaimVote.NOT_YET;
+        }
+        boolean issuedSince = issuedAt - settings.issueLeadMillis() >= memorySinceMillis;
+        boolean remembersAll = nowMillis >= memorySinceMillis + settings.memoryMillis();
+        return issuedSince || remembersAll ? null : ClaimVote.ABSTAINED;
+    }
+
+    private VoterEntry newEntry(ClaimKey key) {
+        int ofWorkspace = entriesByWorkspace.getOrDefault(key.workspace(), 0);
+        if (entries.size() >= settings.maxEntries() || ofWorkspace >= settings.maxEntriesOfWorkspace()) {
+            return null;
+        }
+        VoterEntry entry = new VoterEntry();
+        entries.put(key, entry);
+        entriesByWorkspace.put(key.workspace(), ofWorkspace + 1);
+        return entry;
+    }
+
+    private VoterEntry live(ClaimKey key, long nowMillis) {
+        VoterEntry entry = entries.get(key);
+        if (entry != null) {
+            entry.expire(nowMillis).ifPresent(answers::remove);
+        }
+        return entry;
+    }
+
+    private void sweep(long nowMillis) {
+        if (nowMillis < nextSweepAtMillis) {
+            return;
+        }
+        nextSweepAtMillis = nowMillis + SWEEP_MILLIS;
+        Iterator<Map.Entry<ClaimKey, VoterEntry>> each = entries.entrySet().iterator();
+        while (each.hasNext()) {
+            Map.Entry<ClaimKey, VoterEntry> next = each.next();
+            next.getValue().expire(nowMillis).ifPresent(answers::remove);
+            if (next.getValue().isEmpty()) {
+                entriesByWorkspace.computeIfPresent(
+                        next.getKey().workspace(), (workspace, count) -> count == 1 ? null : count - 1);
+                each.remove();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/claim/EpochVoters.java
@@ -0,0 +1,57 @@
+package org.guavathread.core.claim;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.guavathread.core.id.HostEpoch;
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.membership.EpochMembers;
+import org.guavathread.core.membership.EpochView;
+
+/**
+ * The voters of one key in one host epoch.
+ *
+ * @param epoch the epoch
+ * @param voters the voters, best rank first
+ */
+public record EpochVoters(HostEpoch epoch, List<HostId> voters) {
+
+    /** Copies the voters. */
+    public EpochVoters {
+        voters = List.copyOf(voters);
+    }
+
+    /**
+     * Tells how many of the voters must agree.
+     *
+     * @return the smallest number that is more than half
+     */
+    public int majority() {
+        return EpochMembers.majorityOf(voters.size());
+    }
+
+    /**
+     * Lists the voters of every epoch that counts for a key at one moment.
+     *
+     * @param key the key
+     * @param view what the host knows about epochs
+     * @param settings the times of claims
+     * @param nowMillis the current time
+     * @return the current epoch first, then the earlier ones that still count, newest first
+     */
+    public static List<EpochVoters> counting(ClaimKey key, EpochView view, ClaimSettings settings, long nowMillis) {
+        List<EpochVoters> counting = new ArrayList<>();
+        counting.add(of(key, view.current(), settings));
+        for (EpochView.Superseded earlier : view.earlier()) {
+            long settledAt = earlier.successorSettledAtMillis();
+            if (settledAt == EpochView.NOT_SETTLED || nowMillis < settledAt + settings.memoryMillis()) {
+                counting.add(of(key, earlier.members(), settings));
+            }
+        }
+        return counting;
+    }
+
+    private static EpochVoters of(ClaimKey key, EpochMembers members, ClaimSettings settings) {
+        return new EpochVoters(members.epoch(), members.owners(key.ownerKey(), settings.voterCount()));
+    }
+}
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/claim/OutcomeReply.java
@@ -0,0 +1,19 @@
+package org.guavathread.core.claim;
+
+import java.util.Optional;
+
+import org.guavathread.core.id.AttemptId;
+import org.guavathread.core.message.PeerMessage;
+
+/**
+ * Answer to {@link OutcomeQuery}.
+ *
+ * @param key the key
+ * @param attempt the attempt
+ * @param fromHolder whether the sender answers as the coordinator of the attempt
+ * @param state what the sender knows about the attempt
+ * @param outcome the outcome of the key, if the sender knows it
+ */
+public record OutcomeReply(
+        ClaimKey key, AttemptId attempt, boolean fromHolder, AttemptState state, Optional<ClaimOutcome> outcome)
+        implements PeerMessage {}
