Spread the configuration and simulate a fleet

Cause: nothing decided which sheet is in force, who reads the configuration service, or how versions reach other hosts.

ConfigSpread reads the service, asks peers at the start, offers, fetches and serves sheets; peers get the steps since their version, compressed, in chunks of 128 KiB. Hosts stop reading the service only while they know of a recent successful read by another host; to have the same version as the peers is not enough, since all of them may be cut off. The fleet simulator in the bench runs both mechanisms in virtual time. Before an epoch is settled, a lease now needs the witnesses of the earlier epochs as well.

--- /dev/null
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Simulated fleet for membership and configuration, with a virtual clock, and the measurement that uses it. */
+package org.guavathread.bench.configuration;
--- /dev/null
+++ b/guavathread-bench/src/test/java/org/guavathread/bench/configuration/ConfigurationProperties.java
@@ -0,0 +1,131 @@
+package org.guavathread.bench.configuration;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.id.SheetVersion;
+import org.guavathread.core.sheet.Sheet;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Tag;
+import net.jqwik.api.constraints.LongRange;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against versions that spread too slowly, versions that go back, and too many calls to the service. */
+class ConfigurationProperties {
+
+    private static final long UP_LIMIT_MILLIS = 5_000;
+    private static final long ONE_READER_LIMIT_MILLIS = 10_000;
+
+    @Property(seed = "31", tries = 40)
+    void aVersionIsInForceEverywhereWithinFiveSeconds(@ForAll @LongRange(min = 0, max = Long.MAX_VALUE) long seed) {
+        Random random = new Random(seed);
+        FleetSimulator fleet = started(seed, 1 + random.nextInt(24), random);
+        fleet.network().faults(random.nextDouble() * 0.1, 0.05, 1 + random.nextInt(50));
+        fleet.run(random.nextInt(3_000));
+        assertInForceWithin(fleet, UP_LIMIT_MILLIS, random);
+    }
+
+    @Property(seed = "32", tries = 40)
+    void oneReaderIsEnoughForTenSeconds(@ForAll @LongRange(min = 0, max = Long.MAX_VALUE) long seed) {
+        Random random = new Random(seed);
+        int hosts = 1 + random.nextInt(24);
+        FleetSimulator fleet = started(seed, hosts, random);
+        HostId reader = GeneratedSheets.host(random.nextInt(hosts));
+        fleet.service().reachableFor(reader::equals);
+        fleet.run(random.nextInt(20_000));
+        assertInForceWithin(fleet, ONE_READER_LIMIT_MILLIS, random);
+    }
+
+    @Property(seed = "33", tries = 40)
+    void versionsNeverGoBackWhenAllButOneRestartAgainstAStaleService(
+            @ForAll @LongRange(min = 0, max = Long.MAX_VALUE) long seed) {
+        Random random = new Random(seed);
+        int hosts = 2 + random.nextInt(30);
+        FleetSimulator fleet = started(seed, hosts, random);
+        fleet.publish(sheet(2, hosts, random)).run(5_000);
+        fleet.service().staleFor(h -> true, 1);
+        int survivor = random.nextInt(hosts);
+        for (int i = 0; i < hosts; i++) {
+            HostId host = GeneratedSheets.host(i);
+            if (i != survivor) {
+                fleet.kill(host);
+                fleet.network().after(random.nextInt(3_000), () -> fleet.start(host));
+            }
+        }
+        fleet.run(10_000);
+        assertEquals(List.of(), fleet.regressions());
+        assertTrue(fleet.isInForceEverywhere(new SheetVersion(2)), "version 2 is not everywhere");
+    }
+
+    @Property(seed = "34", tries = 30)
+    void aRunningHostNeverGoesBackUnderAnyFaults(@ForAll @LongRange(min = 0, max = Long.MAX_VALUE) long seed) {
+        RandomSchedule schedule = new RandomSchedule(seed).anyRestarts();
+        java.util.Map<SimulatedHost, SheetVersion> newest = new java.util.IdentityHashMap<>();
+        schedule.run(
+                60_000,
+                fleet -> fleet.hosts().forEach(host -> {
+                    SheetVersion before = newest.put(host, host.version());
+                    assertTrue(
+                            before == null || !before.isNewerThan(host.version()),
+                            host.id() + " went back from " + before);
+                }));
+    }
+
+    @Property(seed = "35", tries = 12)
+    void callsToTheServiceStayFew(@ForAll @LongRange(min = 0, max = Long.MAX_VALUE) long seed) {
+        Random random = new Random(seed);
+        int hosts = 8 + random.nextInt(57);
+        FleetSimulator fleet = started(seed, hosts, random);
+        long allowed = 12 + 3 * (long) Math.ceil(Math.sqrt(hosts) * 4);
+        boolean down = random.nextBoolean();
+        fleet.service().reachableFor(h -> !down);
+        fleet.service().staleFor(h -> !down, 1);
+        long from = fleet.network().nowMillis();
+        fleet.run(20_000);
+        for (int i = 0; i < hosts; i++) {
+            fleet.start(GeneratedSheets.host(i));
+        }
+        fleet.run(20_000);
+        long peak = fleet.service().peakCalls(from, fleet.network().nowMillis());
+        assertTrue(peak <= allowed, peak + " calls a second by " + hosts + " hosts");
+    }
+
+    @Tag("seed-sweep")
+    @Property(tries = 500)
+    void versionsNeverGoBackInAWiderSweep(@ForAll @LongRange(min = 0, max = Long.MAX_VALUE) long seed) {
+        versionsNeverGoBackWhenAllButOneRestartAgainstAStaleService(seed);
+    }
+
+    private static FleetSimulator started(long seed, int hosts, Random random) {
+        FleetSimulator fleet = new FleetSimulator(seed, 0.03);
+        fleet.publish(sheet(1, hosts, random)).startAll().run(4_000);
+        assertTrue(fleet.isInForceEverywhere(new SheetVersion(1)), "version 1 is not everywhere after the start");
+        return fleet;
+    }
+
+    private static Sheet sheet(long version, int hosts, Random random) {
+        Set<Integer> inactive = new HashSet<>();
+        if (hosts > 2) {
+            inactive.add(random.nextInt(hosts));
+        }
+        return GeneratedSheets.sheet(version, hosts, inactive, Math.min(4, hosts), Math.min(2, hosts), 3);
+    }
+
+    private static void assertInForceWithin(FleetSimulator fleet, long limitMillis, Random random) {
+        fleet.publish(sheet(2, fleet.hosts().size(), random));
+        long published = fleet.network().nowMillis();
+        SheetVersion version = new SheetVersion(2);
+        while (!fleet.isInForceEverywhere(version)) {
+            fleet.run(50);
+            long waited = fleet.network().nowMillis() - published;
+            assertTrue(waited <= limitMillis, "not in force everywhere after " + waited + " ms");
+        }
+    }
+}
--- /dev/null
+++ b/guavathread-bench/src/test/java/org/guavathread/bench/configuration/EpochSafetyProperties.java
@@ -0,0 +1,106 @@
+package org.guavathread.bench.configuration;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.membership.EpochMembers;
+import org.guavathread.core.membership.EpochView;
+import org.junit.jupiter.api.Test;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Tag;
+import net.jqwik.api.constraints.LongRange;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against two hosts that hold the same right at the same time, under random faults. */
+class EpochSafetyProperties {
+
+    private static final int KEYS = 6;
+    private static final long DURATION_MILLIS = 90_000;
+
+    private static final Map<String, HostId> OWNERS = new HashMap<>();
+
+    /** Decides whether a host uses a right that it owns in its current epoch. */
+    private interface Rule {
+        boolean mayUse(EpochView view, String key, HostId host, long now);
+    }
+
+    @Property(seed = "21", tries = 60)
+    void noRightHasTwoHolders(@ForAll @LongRange(min = 0, max = Long.MAX_VALUE) long seed) {
+        assertEquals(Optional.empty(), firstConflict(new RandomSchedule(seed), EpochSafetyProperties::rule));
+    }
+
+    @Tag("seed-sweep")
+    @Property(tries = 2_000)
+    void noRightHasTwoHoldersInAWiderSweep(@ForAll @LongRange(min = 0, max = Long.MAX_VALUE) long seed) {
+        assertEquals(
+                Optional.empty(), firstConflict(new RandomSchedule(seed), EpochSafetyProperties::rule), "seed " + seed);
+    }
+
+    /** Shows that the schedules are hard enough: rules without one of the parts give two holders. */
+    @Test
+    void naiveRulesFail() {
+        assertTrue(firstSeedWithConflict((view, key, host, now) -> true) < 20, "ownership by the own sheet");
+        assertTrue(firstSeedWithConflict((view, key, host, now) -> view.holdsLease(now)) < 20, "no settling");
+    }
+
+    private static boolean rule(EpochView view, String key, HostId host, long now) {
+        return view.mayUse(members -> host.equals(owner(members, key)), now);
+    }
+
+    private static long firstSeedWithConflict(Rule rule) {
+        long seed = 0;
+        while (seed < 20 && firstConflict(new RandomSchedule(seed), rule).isEmpty()) {
+            seed++;
+        }
+        return seed;
+    }
+
+    private static Optional<String> firstConflict(RandomSchedule schedule, Rule rule) {
+        List<String> conflicts = new ArrayList<>();
+        OWNERS.clear();
+        schedule.run(DURATION_MILLIS, fleet -> {
+            if (conflicts.isEmpty()) {
+                conflicts.addAll(conflicts(fleet, rule));
+            }
+        });
+        return conflicts.stream().findFirst();
+    }
+
+    private static List<String> conflicts(FleetSimulator fleet, Rule rule) {
+        List<String> conflicts = new ArrayList<>();
+        for (int k = 0; k < KEYS; k++) {
+            String key = "key" + k;
+            HostId holder = null;
+            for (SimulatedHost host : fleet.hosts()) {
+                EpochView view = host.view();
+                boolean holds = !host.isPaused()
+                        && host.id().equals(owner(view.current(), key))
+                        && rule.mayUse(view, key, host.id(), host.now());
+                if (holds && holder != null) {
+                    conflicts.add(fleet.network().nowMillis() + ": " + key + " held by " + holder + " in epoch "
+                            + fleet.host(holder).view().current().epoch() + " and " + host.id() + " in epoch "
+                            + view.current().epoch());
+                }
+                holder = holds ? host.id() : holder;
+            }
+        }
+        return conflicts;
+    }
+
+    private static HostId owner(EpochMembers members, String key) {
+        if (members.hosts().isEmpty()) {
+            return null;
+        }
+        return OWNERS.computeIfAbsent(
+                key + members.hosts().stream().map(h -> h.id().value()).toList(),
+                k -> members.owners(key, 1).get(0));
+    }
+}
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/config/AuditRecord.java
@@ -0,0 +1,30 @@
+package org.guavathread.core.config;
+
+import java.util.List;
+
+import org.guavathread.core.id.SheetVersion;
+import org.guavathread.core.sheet.SheetChange;
+
+/**
+ * Entry of the audit trail: a version that came into force.
+ *
+ * @param version the version
+ * @param previous the version that it replaced; {@link SheetVersion#NONE} after a start
+ * @param digest digest of its canonical form
+ * @param changes what differs from the replaced version; empty after a start
+ * @param source from whom it came: {@code "service"} or the name of a host
+ * @param atMillis when it came into force
+ */
+public record AuditRecord(
+        SheetVersion version,
+        SheetVersion previous,
+        String digest,
+        List<SheetChange> changes,
+        String source,
+        long atMillis) {
+
+    /** Copies the changes. */
+    public AuditRecord {
+        changes = List.copyOf(changes);
+    }
+}
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/config/ConfigSpread.java
@@ -0,0 +1,397 @@
+package org.guavathread.core.config;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.id.SheetVersion;
+import org.guavathread.core.membership.PeerReport;
+import org.guavathread.core.membership.ServiceContact;
+import org.guavathread.core.sheet.Host;
+import org.guavathread.core.sheet.Sheet;
+import org.guavathread.core.sheet.SheetManifest;
+import org.guavathread.core.sheet.SheetReader;
+import org.guavathread.core.sheet.SheetReading;
+
+/**
+ * Brings the newest sheet to this host and on to its peers: decides when to call the configuration service, whom to ask,
+ * to whom to offer, and serves sheets to peers.
+ *
+ * <pre>{@code
+ * ConfigSpread spread = new ConfigSpread(self, random, now).hostList(listedHosts);
+ * run(spread.onTick(now));                       // several times a second
+ * run(spread.onPeerReport(peer, report, now));   // for each heartbeat and answer
+ * }</pre>
+ */
+public final class ConfigSpread {
+
+    /** Peers that a host offers a new version to; 4 reach 98% of the fleet, and heartbeats the rest. */
+    static final int OFFERS = 4;
+
+    /** Silence of the service and of all peers after which a host is isolated, in milliseconds. */
+    static final long ISOLATED_AFTER_MILLIS = 10_000;
+
+    /** A refused version is not fetched again from peers for this long. */
+    private static final long REFUSED_PAUSE_MILLIS = 10_000;
+
+    private final HostId self;
+    private final RandomGenerator random;
+    private final ConfigAcceptance acceptance = new ConfigAcceptance();
+    private final SheetSource source = new SheetSource();
+    private final ServiceReader reader;
+    private final Map<HostId, SheetFetch> fetches = new HashMap<>();
+    private StartPhase start;
+    private List<HostId> activePeers = List.of();
+    private SheetVersion refused = SheetVersion.NONE;
+    private long refusedUntilMillis;
+    private boolean wantWholeSheet;
+    private Acceptance lastReported;
+    private long heardPeerAtMillis;
+
+    /**
+     * Starts the configuration of one run of a host.
+     *
+     * @param self this host
+     * @param random source of jitter and of random peers
+     * @param nowMillis the current time
+     */
+    public ConfigSpread(HostId self, RandomGenerator random, long nowMillis) {
+        this.self = self;
+        this.random = random;
+        this.reader = new ServiceReader(self, random);
+        this.start = new StartPhase(self, random, nowMillis);
+        this.heardPeerAtMillis = nowMillis;
+    }
+
+    /**
+     * Takes the platform's list of hosts, which is used only until the first sheet is in force.
+     *
+     * @param hosts the hosts; the list may lag and be wrong
+     * @return this object
+     */
+    public ConfigSpread hostList(Collection<HostId> hosts) {
+        if (start != null) {
+            start.peers(hosts);
+            reader.fleetSize(hosts.size());
+        }
+        return this;
+    }
+
+    /**
+     * Does what is due. To be called at least every 100 ms.
+     *
+     * @param nowMillis the current time
+     * @return actions
+     */
+    public List<ConfigAction> onTick(long nowMillis) {
+        List<ConfigAction> actions = new ArrayList<>();
+        fetches.values().removeIf(fetch -> fetch.isOverdue(nowMillis));
+        if (start != null) {
+            for (HostId peer : start.toAsk(nowMillis)) {
+                actions.addAll(fetch(peer, SheetVersion.NONE, nowMillis));
+            }
+            if (start.isOver(nowMillis)) {
+                actions.addAll(endStart(nowMillis));
+            }
+        }
+        boolean serviceAllowed = start == null || start.mayReadService(nowMillis);
+        if (serviceAllowed && reader.isCallDue(nowMillis)) {
+            SheetVersion known = newestKnown();
+            boolean plain = known.equals(SheetVersion.NONE);
+            actions.add(new ConfigAction.ReadService(known, plain ? 0 : ServiceReader.WATCH_MILLIS));
+        }
+        return actions;
+    }
+
+    /** A refused version counts, or the service would return it again at once. */
+    private SheetVersion newestKnown() {
+        SheetVersion inForce = acceptance.version();
+        SheetVersion known = source.version().isNewerThan(inForce) ? source.version() : inForce;
+        return refused.isNewerThan(known) ? refused : known;
+    }
+
+    private List<ConfigAction> endStart(long nowMillis) {
+        SheetReading.Valid best = start.best();
+        String from = start.bestSource();
+        start = null;
+        return offered(best, from, nowMillis);
+    }
+
+    /**
+     * Takes a heartbeat or its answer.
+     *
+     * @param from the peer
+     * @param report what it says
+     * @param nowMillis the current time
+     * @return actions
+     */
+    public List<ConfigAction> onPeerReport(HostId from, PeerReport report, long nowMillis) {
+        heardPeerAtMillis = nowMillis;
+        report.serviceContact().ifPresent(contact -> reader.heard(contact, nowMillis));
+        return onPeerVersion(from, report.sheetVersion(), nowMillis);
+    }
+
+    /**
+     * Takes the offer of a peer.
+     *
+     * @param from the peer
+     * @param offer the offer
+     * @param nowMillis the current time
+     * @return actions
+     */
+    public List<ConfigAction> onOffer(HostId from, SheetOffer offer, long nowMillis) {
+        heardPeerAtMillis = nowMillis;
+        if (offer.version().equals(acceptance.version()) && !offer.digest().equals(acceptance.digest())) {
+            return report(new Acceptance.Conflict(offer.version(), offer.digest(), acceptance.digest(), from.value()));
+        }
+        return onPeerVersion(from, offer.version(), nowMillis);
+    }
+
+    /**
+     * Takes the version that any other message of a peer carries, and fetches it if it is newer.
+     *
+     * @param from the peer
+     * @param version its version
+     * @param nowMillis the current time
+     * @return actions
+     */
+    public List<ConfigAction> onPeerVersion(HostId from, SheetVersion version, long nowMillis) {
+        boolean pausedAfterRefusal = version.equals(refused) && nowMillis < refusedUntilMillis;
+        boolean beingFetched = fetches.values().stream().anyMatch(f -> !version.isNewerThan(f.expected()));
+        if (!version.isNewerThan(source.version()) || pausedAfterRefusal || beingFetched) {
+            return List.of();
+        }
+        return fetch(from, version, nowMillis);
+    }
+
+    private List<ConfigAction> fetch(HostId from, SheetVersion version, long nowMillis) {
+        if (fetches.containsKey(from)) {
+            return List.of();
+        }
+        boolean steps = start == null && !wantWholeSheet;
+        SheetFetch fetch = new SheetFetch(from, version, source.version(), steps ? acceptance.digest() : "", nowMillis);
+        fetches.put(from, fetch);
+        return List.of(new ConfigAction.Send(from, fetch.nextRequest()));
+    }
+
+    /**
+     * Answers the request of a peer.
+     *
+     * @param request the request
+     * @return the chunk; while this host is starting, of the best sheet that it has heard of
+     */
+    public SheetChunk onRequest(SheetRequest request) {
+        return source.chunk(request);
+    }
+
+    /**
+     * Takes a chunk.
+     *
+     * @param from the peer
+     * @param chunk the chunk
+     * @param nowMillis the current time
+     * @return actions
+     */
+    public List<ConfigAction> onChunk(HostId from, SheetChunk chunk, long nowMillis) {
+        heardPeerAtMillis = nowMillis;
+        if (start != null) {
+            start.answered(from, !chunk.isNone());
+        }
+        SheetFetch fetch = fetches.get(from);
+        if (fetch == null) {
+            return List.of();
+        }
+        if (!chunk.version().isNewerThan(source.version())) {
+            fetches.remove(from);
+            return List.of();
+        }
+        if (!fetch.take(chunk, nowMillis)) {
+            return List.of();
+        }
+        if (!fetch.isComplete()) {
+            return continueOrDrop(fetch);
+        }
+        fetches.remove(from);
+        Optional<SheetReading> reading = fetch.read(acceptance.inForce().orElse(null));
+        wantWholeSheet = reading.isEmpty();
+        return reading.map(r -> offered(r, from.value(), nowMillis))
+                .orElseGet(() -> fetch(from, chunk.version(), nowMillis));
+    }
+
+    private List<ConfigAction> continueOrDrop(SheetFetch fetch) {
+        boolean duplicate = fetches.values().stream()
+                .anyMatch(f -> f != fetch
+                        && !f.nextRequest().wanted().equals(SheetVersion.NONE)
+                        && !fetch.expected().isNewerThan(f.expected()));
+        if (duplicate) {
+            fetches.remove(fetch.from());
+            return List.of();
+        }
+        return List.of(new ConfigAction.Send(fetch.from(), fetch.nextRequest()));
+    }
+
+    /**
+     * Takes the answer of the configuration service.
+     *
+     * @param answer the answer
+     * @param nowMillis the current time
+     * @return actions
+     */
+    public List<ConfigAction> onServiceAnswer(ServiceAnswer answer, long nowMillis) {
+        if (answer instanceof ServiceAnswer.Failed) {
+            reader.failed(nowMillis);
+            return List.of();
+        }
+        if (!(answer instanceof ServiceAnswer.Value value)) {
+            reader.succeeded(false, nowMillis);
+            return List.of();
+        }
+        SheetReading reading = SheetReader.read(value.json());
+        if (reading instanceof SheetReading.Parts parts) {
+            return takeManifest(parts.manifest(), nowMillis);
+        }
+        return takeFromService(reading, nowMillis);
+    }
+
+    private List<ConfigAction> takeManifest(SheetManifest manifest, long nowMillis) {
+        if (manifest.version().isNewerThan(source.version())) {
+            return List.of(new ConfigAction.ReadParts(manifest));
+        }
+        if (source.version().isNewerThan(manifest.version())) {
+            reader.failed(nowMillis);
+        } else {
+            reader.succeeded(false, nowMillis);
+        }
+        return List.of();
+    }
+
+    /**
+     * Takes the parts of a manifest.
+     *
+     * @param manifest the manifest
+     * @param documents the parts that could be read, by name
+     * @param nowMillis the current time
+     * @return actions
+     */
+    public List<ConfigAction> onServiceParts(SheetManifest manifest, Map<String, byte[]> documents, long nowMillis) {
+        SheetReading reading = SheetReader.readParts(manifest, documents);
+        if (reading instanceof SheetReading.RetryParts) {
+            reader.failed(nowMillis);
+            return List.of();
+        }
+        return takeFromService(reading, nowMillis);
+    }
+
+    /** An invalid or an older sheet counts as a failed call: a stale replica must not be taken for the service. */
+    private List<ConfigAction> takeFromService(SheetReading reading, long nowMillis) {
+        boolean stale = reading instanceof SheetReading.Valid valid
+                && source.version().isNewerThan(valid.sheet().version());
+        if (stale || reading instanceof SheetReading.Invalid) {
+            reader.failed(nowMillis);
+        } else {
+            reader.succeeded(true, nowMillis);
+        }
+        return offered(reading, "service", nowMillis);
+    }
+
+    private List<ConfigAction> offered(SheetReading reading, String from, long nowMillis) {
+        if (start != null && reading instanceof SheetReading.Valid valid) {
+            return start.candidate(valid, from, nowMillis) ? passOn(valid, from) : List.of();
+        }
+        Acceptance result = acceptance.offer(reading, from, nowMillis);
+        List<ConfigAction> actions = new ArrayList<>();
+        if (result instanceof Acceptance.Refused refusal) {
+            refused = new SheetVersion(Math.max(0, refusal.version()));
+            refusedUntilMillis = nowMillis + REFUSED_PAUSE_MILLIS;
+        }
+        if (result instanceof Acceptance.InForce accepted) {
+            if (accepted.sheet().version().isNewerThan(source.version())) {
+                actions.addAll(passOn((SheetReading.Valid) reading, from));
+            }
+            reader.sheet(accepted.sheet());
+        }
+        actions.addAll(report(result));
+        return actions;
+    }
+
+    private List<ConfigAction> passOn(SheetReading.Valid valid, String from) {
+        source.sheet(valid.sheet(), valid.digest());
+        activePeers = valid.sheet().activeHosts().stream()
+                .map(Host::id)
+                .filter(h -> !h.equals(self))
+                .toList();
+        List<HostId> pool = new ArrayList<>(activePeers);
+        pool.removeIf(h -> h.value().equals(from));
+        List<ConfigAction> actions = new ArrayList<>();
+        for (int i = 0; i < OFFERS && !pool.isEmpty(); i++) {
+            actions.add(new ConfigAction.Send(pool.remove(random.nextInt(pool.size())), source.offer()));
+        }
+        return actions;
+    }
+
+    /** The same refusal is reported once, not at each read. */
+    private List<ConfigAction> report(Acceptance result) {
+        if (result instanceof Acceptance.NotNewer || Objects.equals(result, lastReported)) {
+            return List.of();
+        }
+        lastReported = result;
+        return List.of(new ConfigAction.Report(result));
+    }
+
+    /**
+     * Gives the sheets accepted so far.
+     *
+     * @return the acceptance, to be read only
+     */
+    public ConfigAcceptance acceptance() {
+        return acceptance;
+    }
+
+    /**
+     * Tells whether the host may serve callers.
+     *
+     * @return true once the start phase is over and a sheet is in force
+     */
+    public boolean isServing() {
+        return start == null;
+    }
+
+    /**
+     * Gives what heartbeats say about the configuration service.
+     *
+     * @param nowMillis the current time
+     * @return the most recent successful read that this host knows of
+     */
+    public Optional<ServiceContact> serviceContact(long nowMillis) {
+        return reader.contact(nowMillis);
+    }
+
+    /**
+     * Tells whether this host must refuse requests that need an API key, because it could not learn of a withdrawal.
+     *
+     * @param nowMillis the current time
+     * @return true if neither the service nor any peer has answered for 10 s; never in a fleet of one active host
+     */
+    public boolean isIsolated(long nowMillis) {
+        boolean single =
+                acceptance.inForce().map(Sheet::activeHosts).map(List::size).orElse(0) == 1 && activePeers.isEmpty();
+        long heard = Math.max(heardPeerAtMillis, reader.ownSuccessAtMillis());
+        return !single && nowMillis - heard >= ISOLATED_AFTER_MILLIS;
+    }
+
+    /**
+     * Lists the peers that this host is fetching a sheet from, for status reports.
+     *
+     * @return the peers by name
+     */
+    public Collection<HostId> fetchingFrom() {
+        return new TreeSet<>(fetches.keySet());
+    }
+}
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/config/ServiceAnswer.java
@@ -0,0 +1,18 @@
+package org.guavathread.core.config;
+
+/** What a call to the configuration service gave. */
+public sealed interface ServiceAnswer {
+
+    /**
+     * The service returned a document.
+     *
+     * @param json the document in UTF-8
+     */
+    record Value(byte[] json) implements ServiceAnswer {}
+
+    /** The service has nothing newer. */
+    record Unchanged() implements ServiceAnswer {}
+
+    /** The call failed or timed out. */
+    record Failed() implements ServiceAnswer {}
+}
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/config/ServiceReader.java
@@ -0,0 +1,167 @@
+package org.guavathread.core.config;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import org.guavathread.core.hash.RendezvousHash;
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.id.RegionId;
+import org.guavathread.core.membership.ServiceContact;
+import org.guavathread.core.sheet.Host;
+import org.guavathread.core.sheet.Sheet;
+
+/**
+ * Decides whether and when a host calls the configuration service.
+ *
+ * <p>The first three hosts of each region always do. Any other host does while it knows of no read by another host in
+ * the last 5 s; that peers have the same version says nothing, because all of them may be cut off from the service. A
+ * host that reads with success goes on until it hears of a reader that ranks before it, so that one reader remains.
+ */
+final class ServiceReader {
+
+    /** Time that the service may hold a watch, in milliseconds; its answer also shows that the service is reachable. */
+    static final int WATCH_MILLIS = 1_000;
+
+    /** Age from which a read by another host counts no more. */
+    static final long CONTACT_VALID_MILLIS = 5_000;
+
+    /** Waiting hosts per region; more than one, so that a death or a cut-off reader costs no time. */
+    static final int READERS_IN_A_REGION = 3;
+
+    private static final long ANSWER_DEADLINE_MILLIS = 4_000;
+    private static final long MIN_INTERVAL_MILLIS = 1_000;
+    private static final long READER_MAX_INTERVAL_MILLIS = 2_000;
+    private static final long AFTER_NEWS_MILLIS = 200;
+
+    /**
+     * With n hosts, each one that has to try calls every sqrt(n) x 250 ms while the service fails: 8 calls a second with
+     * 8 hosts, 81 with 410, so that the calls grow with the square root of the fleet.
+     */
+    private static final double INTERVAL_MILLIS_PER_SQRT_HOST = 250;
+
+    /** Part of the interval over which hosts that notice a silent service at the same time spread their first calls. */
+    private static final double FIRST_CALL_SPREAD = 0.3;
+
+    private static final double JITTER = 0.25;
+
+    private final HostId self;
+    private final RandomGenerator random;
+    private List<HostId> ranking = List.of();
+    private boolean firstRank;
+    private int hosts = 1;
+    private boolean inFlight;
+    private boolean trying;
+    private int failures;
+    private long nextCallAtMillis;
+    private long calledAtMillis;
+    private long ownSuccessAtMillis = Long.MIN_VALUE / 2;
+    private HostId otherReader;
+    private long otherContactAtMillis = Long.MIN_VALUE / 2;
+
+    ServiceReader(HostId self, RandomGenerator random) {
+        this.self = self;
+        this.random = random;
+    }
+
+    /** Takes the expected number of hosts before the first sheet, for the pace of the calls. */
+    void fleetSize(int size) {
+        hosts = Math.max(1, size);
+    }
+
+    void sheet(Sheet sheet) {
+        List<Host> active = sheet.activeHosts();
+        hosts = Math.max(1, active.size());
+        ranking = RendezvousHash.rank("sheet", active, h -> h.id().value()).stream()
+                .map(Host::id)
+                .toList();
+        Host own = sheet.hosts().get(self);
+        Optional<RegionId> region = own == null ? Optional.empty() : sheet.regionOf(own.dataCentre());
+        List<Host> inRegion = active.stream()
+                .filter(h -> sheet.regionOf(h.dataCentre()).equals(region))
+                .toList();
+        firstRank =
+                RendezvousHash.rankSpread("sheet", inRegion, h -> h.id().value(), Host::dataCentre, READERS_IN_A_REGION)
+                        .stream()
+                        .anyMatch(h -> h.id().equals(self));
+    }
+
+    /** Takes the most recent read that a peer knows of. */
+    void heard(ServiceContact contact, long nowMillis) {
+        long at = nowMillis - Math.max(0, contact.ageMillis());
+        if (!contact.reader().equals(self) && at > otherContactAtMillis) {
+            otherReader = contact.reader();
+            otherContactAtMillis = at;
+        }
+    }
+
+    Optional<ServiceContact> contact(long nowMillis) {
+        boolean own = ownSuccessAtMillis >= otherContactAtMillis;
+        long age = nowMillis - (own ? ownSuccessAtMillis : otherContactAtMillis);
+        return age > 2 * CONTACT_VALID_MILLIS
+                ? Optional.empty()
+                : Optional.of(new ServiceContact(own ? self : otherReader, (int) age));
+    }
+
+    long ownSuccessAtMillis() {
+        return ownSuccessAtMillis;
+    }
+
+    /** Tells whether a call is to be made now, and takes note that it is made. */
+    boolean isCallDue(long nowMillis) {
+        if (inFlight && nowMillis - calledAtMillis >= ANSWER_DEADLINE_MILLIS) {
+            failed(nowMillis);
+        }
+        if (!mustRead(nowMillis)) {
+            trying = false;
+            failures = 0;
+            return false;
+        }
+        if (!trying) {
+            trying = true;
+            double spread = firstRank ? 0 : retryMillis() * FIRST_CALL_SPREAD * random.nextDouble();
+            nextCallAtMillis = Math.max(nextCallAtMillis, nowMillis + (long) spread);
+        }
+        if (inFlight || nowMillis < nextCallAtMillis) {
+            return false;
+        }
+        inFlight = true;
+        calledAtMillis = nowMillis;
+        return true;
+    }
+
+    private boolean mustRead(long nowMillis) {
+        boolean otherReads = nowMillis - otherContactAtMillis < CONTACT_VALID_MILLIS;
+        if (firstRank || !otherReads) {
+            return true;
+        }
+        boolean reading = nowMillis - ownSuccessAtMillis < CONTACT_VALID_MILLIS;
+        return reading && rank(self) < rank(otherReader);
+    }
+
+    private int rank(HostId host) {
+        int index = ranking.indexOf(host);
+        return index < 0 ? Integer.MAX_VALUE : index;
+    }
+
+    void succeeded(boolean news, long nowMillis) {
+        inFlight = false;
+        failures = 0;
+        ownSuccessAtMillis = nowMillis;
+        nextCallAtMillis = news ? nowMillis + AFTER_NEWS_MILLIS : Math.max(nowMillis, calledAtMillis + WATCH_MILLIS);
+    }
+
+    void failed(long nowMillis) {
+        inFlight = false;
+        failures++;
+        double jitter = 1 - JITTER + 2 * JITTER * random.nextDouble();
+        nextCallAtMillis = nowMillis + (long) (retryMillis() * jitter);
+    }
+
+    private double retryMillis() {
+        double bound = Math.max(MIN_INTERVAL_MILLIS, Math.sqrt(hosts) * INTERVAL_MILLIS_PER_SQRT_HOST);
+        double backOff = MIN_INTERVAL_MILLIS * Math.pow(2, Math.min(failures, 10) - 1.0);
+        double limit = firstRank ? Math.min(bound, READER_MAX_INTERVAL_MILLIS) : bound;
+        return firstRank ? Math.min(limit, backOff) : limit;
+    }
+}
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/config/SheetFetch.java
@@ -0,0 +1,112 @@
+package org.guavathread.core.config;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.id.SheetVersion;
+import org.guavathread.core.sheet.Sheet;
+import org.guavathread.core.sheet.SheetDelta;
+import org.guavathread.core.sheet.SheetFault;
+import org.guavathread.core.sheet.SheetReader;
+import org.guavathread.core.sheet.SheetReading;
+
+/** Fetches one sheet from one peer, chunk by chunk. */
+final class SheetFetch {
+
+    /** A peer that has not sent the next chunk by then is given up; a chunk takes a few milliseconds. */
+    private static final long CHUNK_DEADLINE_MILLIS = 1_000;
+
+    /** No sheet has more; the limit keeps a faulty peer from filling the memory. */
+    private static final int MAX_ENCODED_BYTES = 16 * 1024 * 1024;
+
+    private final HostId from;
+    private final SheetVersion expected;
+    private final SheetVersion have;
+    private final String haveDigest;
+    private final ByteArrayOutputStream received = new ByteArrayOutputStream();
+    private SheetChunk first;
+    private long chunkDeadlineMillis;
+
+    SheetFetch(HostId from, SheetVersion expected, SheetVersion have, String haveDigest, long nowMillis) {
+        this.from = from;
+        this.expected = expected;
+        this.have = have;
+        this.haveDigest = haveDigest;
+        this.chunkDeadlineMillis = nowMillis + CHUNK_DEADLINE_MILLIS;
+    }
+
+    HostId from() {
+        return from;
+    }
+
+    SheetVersion expected() {
+        return first == null ? expected : first.version();
+    }
+
+    boolean isOverdue(long nowMillis) {
+        return nowMillis >= chunkDeadlineMillis;
+    }
+
+    SheetRequest nextRequest() {
+        return first == null
+                ? new SheetRequest(have, haveDigest, SheetVersion.NONE, 0)
+                : new SheetRequest(have, haveDigest, first.version(), received.size());
+    }
+
+    /** Takes a chunk; returns false if it is a duplicate, which needs no further request. */
+    boolean take(SheetChunk chunk, long nowMillis) {
+        boolean same = first != null
+                && chunk.version().equals(first.version())
+                && chunk.digest().equals(first.digest())
+                && chunk.base().equals(first.base())
+                && chunk.totalBytes() == first.totalBytes();
+        if (!same) {
+            if (chunk.offset() != 0 || first != null && first.version().isNewerThan(chunk.version())) {
+                return false;
+            }
+            received.reset();
+            first = chunk;
+        }
+        if (chunk.offset() != received.size() || chunk.totalBytes() > MAX_ENCODED_BYTES) {
+            return false;
+        }
+        received.writeBytes(chunk.bytes());
+        chunkDeadlineMillis = nowMillis + CHUNK_DEADLINE_MILLIS;
+        return true;
+    }
+
+    boolean isComplete() {
+        return first != null && received.size() >= first.totalBytes();
+    }
+
+    /** Reads the sheet; empty if it does not have the promised digest, so that the whole sheet must be fetched. */
+    Optional<SheetReading> read(Sheet base) {
+        SheetReading reading;
+        try {
+            List<byte[]> documents = SheetEncoding.decode(received.toByteArray());
+            if (first.base().equals(SheetVersion.NONE)) {
+                reading = documents.size() == 1 ? SheetReader.read(documents.get(0)) : malformed("has no single sheet");
+            } else {
+                reading = base != null && base.version().equals(first.base())
+                        ? SheetDelta.apply(base, documents)
+                        : malformed("starts from another version");
+            }
+        } catch (IOException e) {
+            reading = malformed("cannot be unpacked: " + e.getMessage());
+        }
+        if (reading instanceof SheetReading.Valid valid && !valid.digest().equals(first.digest())) {
+            return Optional.empty();
+        }
+        boolean step = !first.base().equals(SheetVersion.NONE);
+        return step && !(reading instanceof SheetReading.Valid) ? Optional.empty() : Optional.of(reading);
+    }
+
+    private SheetReading malformed(String why) {
+        String message = "What peer " + from + " sent as sheet " + first.version() + " " + why
+                + "; check that both hosts run the same release.";
+        return new SheetReading.Invalid(first.version().value(), List.of(new SheetFault("", message)));
+    }
+}
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/config/SheetSource.java
@@ -0,0 +1,82 @@
+package org.guavathread.core.config;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.guavathread.core.id.SheetVersion;
+import org.guavathread.core.sheet.Sheet;
+import org.guavathread.core.sheet.SheetDelta;
+import org.guavathread.core.sheet.SheetWriter;
+
+/** Serves the newest sheet that a host has to its peers, as steps where the peer has a recent version. */
+final class SheetSource {
+
+    /** Half of the largest frame, so that the other messages on the connection are not held up for long. */
+    static final int CHUNK_BYTES = 128 * 1024;
+
+    /** A host that missed more versions gets the whole sheet. */
+    private static final int STEPS_KEPT = 16;
+
+    private record Step(SheetVersion from, String fromDigest, byte[] delta) {}
+
+    private final List<Step> steps = new ArrayList<>();
+    private final Map<SheetVersion, byte[]> encodedByBase = new LinkedHashMap<>();
+    private Sheet sheet;
+    private String digest = "";
+
+    void sheet(Sheet next, String nextDigest) {
+        if (sheet != null) {
+            steps.add(new Step(sheet.version(), digest, SheetDelta.between(sheet, next)));
+            if (steps.size() > STEPS_KEPT) {
+                steps.remove(0);
+            }
+        }
+        sheet = next;
+        digest = nextDigest;
+        encodedByBase.clear();
+    }
+
+    SheetVersion version() {
+        return sheet == null ? SheetVersion.NONE : sheet.version();
+    }
+
+    SheetOffer offer() {
+        return new SheetOffer(version(), digest);
+    }
+
+    /** Answers with the newest sheet from its start if the wanted version is no longer the newest. */
+    SheetChunk chunk(SheetRequest request) {
+        if (sheet == null || !version().isNewerThan(request.have())) {
+            return sheet == null
+                    ? SheetChunk.NONE
+                    : new SheetChunk(version(), digest, SheetVersion.NONE, 0, 0, new byte[0]);
+        }
+        SheetVersion base = baseFor(request);
+        byte[] encoded = encodedByBase.computeIfAbsent(base, this::encode);
+        int offset = request.wanted().equals(version()) ? Math.max(0, Math.min(request.offset(), encoded.length)) : 0;
+        byte[] piece = Arrays.copyOfRange(encoded, offset, Math.min(encoded.length, offset + CHUNK_BYTES));
+        return new SheetChunk(version(), digest, base, offset, encoded.length, piece);
+    }
+
+    private SheetVersion baseFor(SheetRequest request) {
+        return steps.stream()
+                .filter(step ->
+                        step.from().equals(request.have()) && step.fromDigest().equals(request.haveDigest()))
+                .map(Step::from)
+                .findFirst()
+                .orElse(SheetVersion.NONE);
+    }
+
+    private byte[] encode(SheetVersion base) {
+        if (base.equals(SheetVersion.NONE)) {
+            return SheetEncoding.encode(List.of(SheetWriter.write(sheet)));
+        }
+        return SheetEncoding.encode(steps.stream()
+                .filter(step -> !base.isNewerThan(step.from()))
+                .map(Step::delta)
+                .toList());
+    }
+}
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/config/StartPhase.java
@@ -0,0 +1,112 @@
+package org.guavathread.core.config;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.sheet.SheetReading;
+
+/**
+ * The time after a start in which a host asks its peers for the newest sheet before it takes any into force. Hosts that
+ * start together pass on the best sheet that they have heard of, so that one host that kept a newer version than the
+ * configuration service reaches all of them although each asks a few.
+ */
+final class StartPhase {
+
+    static final long DURATION_MILLIS = 2_000;
+
+    /** A host that learns its peers only from the first sheet that it reads asks them for this long. */
+    static final long AFTER_FIRST_SHEET_MILLIS = 1_000;
+
+    private static final long ASK_INTERVAL_MILLIS = 200;
+    private static final long LATE_ASK_INTERVAL_MILLIS = 1_000;
+    private static final int ASKED_AT_ONCE = 4;
+
+    /** The service is called if no peer has sent a sheet by then. */
+    private static final long PEERS_FIRST_MILLIS = 400;
+
+    private final HostId self;
+    private final RandomGenerator random;
+    private final long startedAtMillis;
+    private final Set<HostId> peers = new TreeSet<>();
+    private final Set<HostId> answered = new HashSet<>();
+    private SheetReading.Valid best;
+    private String bestSource = "";
+    private long firstSheetAtMillis;
+    private long nextAskAtMillis;
+
+    StartPhase(HostId self, RandomGenerator random, long nowMillis) {
+        this.self = self;
+        this.random = random;
+        this.startedAtMillis = nowMillis;
+        this.nextAskAtMillis = nowMillis;
+    }
+
+    void peers(Collection<HostId> hosts) {
+        peers.addAll(hosts);
+        peers.remove(self);
+    }
+
+    List<HostId> toAsk(long nowMillis) {
+        if (nowMillis < nextAskAtMillis) {
+            return List.of();
+        }
+        boolean early = nowMillis < startedAtMillis + DURATION_MILLIS;
+        nextAskAtMillis = nowMillis + (early ? ASK_INTERVAL_MILLIS : LATE_ASK_INTERVAL_MILLIS);
+        List<HostId> pool = new ArrayList<>(peers);
+        pool.removeAll(answered);
+        List<HostId> chosen = new ArrayList<>();
+        List<HostId> again = new ArrayList<>(answered);
+        while (chosen.size() < ASKED_AT_ONCE && !(pool.isEmpty() && again.isEmpty())) {
+            List<HostId> from = pool.isEmpty() ? again : pool;
+            chosen.add(from.remove(random.nextInt(from.size())));
+        }
+        return chosen;
+    }
+
+    /** A host that is starting itself does not count as answered: it may hear of a newer sheet later. */
+    void answered(HostId peer, boolean hasSheet) {
+        if (hasSheet) {
+            answered.add(peer);
+        }
+    }
+
+    boolean candidate(SheetReading.Valid valid, String source, long nowMillis) {
+        if (best != null && !valid.sheet().version().isNewerThan(best.sheet().version())) {
+            return false;
+        }
+        if (best == null) {
+            firstSheetAtMillis = nowMillis;
+        }
+        best = valid;
+        bestSource = source;
+        peers(valid.sheet().hosts().keySet());
+        return true;
+    }
+
+    SheetReading.Valid best() {
+        return best;
+    }
+
+    String bestSource() {
+        return bestSource;
+    }
+
+    boolean mayReadService(long nowMillis) {
+        return peers.isEmpty() || best == null && nowMillis >= startedAtMillis + PEERS_FIRST_MILLIS;
+    }
+
+    boolean isOver(long nowMillis) {
+        if (best == null) {
+            return false;
+        }
+        boolean timeUp = nowMillis >= startedAtMillis + DURATION_MILLIS
+                && nowMillis >= firstSheetAtMillis + AFTER_FIRST_SHEET_MILLIS;
+        return timeUp || answered.containsAll(peers);
+    }
+}
--- a/guavathread-core/src/main/java/org/guavathread/core/membership/EpochTracker.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/membership/EpochTracker.java
@@ -44,14 +44,11 @@
     private final EpochSettlement settlement = new EpochSettlement();
     private final EpochLineage lineage = new EpochLineage();
     private final Map<HostId, Long> pingedAtMillis = new HashMap<>();
-    private final Set<HostId> continuityWitnesses = new HashSet<>();
 
     private Sheet sheet;
     private KnownEpoch current;
-    private KnownEpoch previous;
     private boolean numberKnown;
-    private boolean continuous;
-    private boolean skippedVersion;
+    private boolean keepsRights;
     private long adoptedAtMillis;
     private long settledAtMillis = EpochView.NOT_SETTLED;
     private long inheritedLeaseDeadlineMillis;
@@ -87,8 +84,6 @@
         if (sheet != null && !next.version().isNewerThan(sheet.version())) {
             return;
         }
-        skippedVersion |=
-                sheet != null && next.version().value() != sheet.version().value() + 1;
         KnownEpoch epoch = KnownEpoch.of(next, new HostEpoch(next.version().value()));
         sheet = next;
         if (current != null && epoch.id().membersHash() == current.id().membersHash()) {
@@ -105,26 +100,22 @@
             }
             return;
         }
-        supersede(epoch, !skippedVersion, nowMillis);
+        supersede(epoch, nowMillis);
     }
 
     /**
-     * Starts an epoch. Rights are kept only if the host could use them in the epoch before, and if no epoch lies between
-     * that another host may have settled. Versions of the sheet without a gap prove that; so does, later, a majority of
-     * the witnesses of the epoch before. Until the old lease ends, no other epoch can be settled in any case.
+     * Starts an epoch. Rights are kept only if the host could use them in the epoch before. Until the old lease ends, no
+     * later epoch can be settled, so that the host may go on without a new one until then.
      */
-    private void supersede(KnownEpoch epoch, boolean direct, long nowMillis) {
-        boolean hadRights = continuous || nowMillis >= settledAtMillis;
+    private void supersede(KnownEpoch epoch, long nowMillis) {
         boolean otherSet = epoch.id().membersHash() != current.id().membersHash();
+        boolean hadRights = keepsRights || nowMillis >= settledAtMillis;
         inheritedLeaseDeadlineMillis = leaseDeadlineMillis(nowMillis);
         lineage.superseded(current, nowMillis);
-        previous = hadRights && otherSet ? current : null;
         current = epoch;
         adoptedAtMillis = nowMillis;
         settledAtMillis = EpochView.NOT_SETTLED;
-        continuous = direct && previous != null;
-        skippedVersion = false;
-        continuityWitnesses.clear();
+        keepsRights = hadRights && otherSet;
         lease.clear();
         settlement.clear();
         pingedAtMillis.clear();
@@ -175,9 +166,7 @@
             if (isWitness(current)) {
                 lineage.live().forEach(epoch -> targets.addAll(epoch.allWitnesses()));
             }
-            if (!continuous && previous != null) {
-                targets.addAll(leaseWitnesses(previous).hosts());
-            }
+            lineage.live().forEach(epoch -> targets.addAll(leaseWitnesses(epoch).hosts()));
         }
         return targets;
     }
@@ -260,7 +249,7 @@
             return;
         }
         if (numberKnown) {
-            supersede(current.renumbered(theirs.number()), false, nowMillis);
+            supersede(current.renumbered(theirs.number()), nowMillis);
         } else {
             know(theirs.number());
         }
@@ -289,7 +278,7 @@
             return;
         }
         if (reply.epoch().equals(current.id())) {
-            takeLineage(from, reply, nowMillis);
+            takeLineage(reply, nowMillis);
         }
         if (reply.confirms() && reply.asked().equals(current.id())) {
             settlement.confirmed(from, reply.witness(), reply.sentAtMillis(), nowMillis);
@@ -302,24 +291,16 @@
         refresh(nowMillis);
     }
 
-    private void takeLineage(HostId from, WitnessReply reply, long nowMillis) {
+    /** An epoch that this host did not know lies between; another host may have got its rights then. */
+    private void takeLineage(WitnessReply reply, long nowMillis) {
         if (settledAtMillis != EpochView.NOT_SETTLED) {
             return;
         }
         if (lineage.merge(current, reply.lineage(), nowMillis)) {
-            continuous = false;
-            continuityWitnesses.clear();
-            previous = null;
+            keepsRights = false;
         }
         if (reply.settled()) {
             settle(nowMillis);
-        } else if (!continuous && previous != null && reply.confirms()) {
-            continuityWitnesses.add(from);
-            RegionWitnesses witnesses = leaseWitnesses(previous);
-            long proven = witnesses.hosts().stream()
-                    .filter(h -> continuityWitnesses.contains(h) || h.equals(self))
-                    .count();
-            continuous = proven >= witnesses.majority();
         }
     }
 
@@ -338,15 +319,28 @@
                 current.members(), leaseDeadlineMillis(nowMillis), adoptedAtMillis, settledAtMillis, lineage.views());
     }
 
+    /**
+     * Before the epoch is settled, the lease needs the witnesses of the earlier epochs as well: a host that skipped this
+     * epoch asks only those before it settles a later one.
+     */
     private long leaseDeadlineMillis(long nowMillis) {
         if (!numberKnown) {
             return 0;
         }
-        RegionWitnesses witnesses = leaseWitnesses(current);
-        boolean alone = current.hosts().size() == 1 && isWitness(current) && restart.isDone();
-        long own = alone ? nowMillis + EpochLease.DURATION_MILLIS : lease.deadlineMillis(witnesses);
-        long usable = continuous || nowMillis >= settledAtMillis ? own : 0;
-        return Math.max(usable, inheritedLeaseDeadlineMillis);
+        boolean settled = nowMillis >= settledAtMillis;
+        long deadline = 0;
+        if (settled || keepsRights) {
+            deadline = supportedUntilMillis(current, nowMillis);
+            for (KnownEpoch epoch : settled ? List.<KnownEpoch>of() : lineage.live()) {
+                deadline = Math.min(deadline, supportedUntilMillis(epoch, nowMillis));
+            }
+        }
+        return Math.max(deadline, inheritedLeaseDeadlineMillis);
+    }
+
+    private long supportedUntilMillis(KnownEpoch epoch, long nowMillis) {
+        boolean alone = epoch.hosts().size() == 1 && isWitness(epoch) && restart.isDone();
+        return alone ? nowMillis + EpochLease.DURATION_MILLIS : lease.deadlineMillis(leaseWitnesses(epoch));
     }
 
     /**
--- a/guavathread-core/src/main/java/org/guavathread/core/membership/PeerReport.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/membership/PeerReport.java
@@ -1,5 +1,7 @@
 package org.guavathread.core.membership;
 
+import java.util.Optional;
+
 import org.guavathread.core.id.Incarnation;
 import org.guavathread.core.id.SheetVersion;
 
@@ -10,5 +12,11 @@
  * @param sheetVersion its sheet
  * @param draining whether it is shutting down and wants no new work
  * @param loadPermille how much of its request capacity is in use, in thousandths
+ * @param serviceContact the most recent read of the configuration service that it knows of
  */
-public record PeerReport(Incarnation incarnation, SheetVersion sheetVersion, boolean draining, int loadPermille) {}
+public record PeerReport(
+        Incarnation incarnation,
+        SheetVersion sheetVersion,
+        boolean draining,
+        int loadPermille,
+        Optional<ServiceContact> serviceContact) {}
--- a/guavathread-core/src/main/java/org/guavathread/core/sheet/SheetReader.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/sheet/SheetReader.java
@@ -139,7 +139,7 @@
                 : new SheetReading.Invalid(root.path("version").asLong(), faults);
     }
 
-    private static SheetReading readSheet(JsonNode root, List<SheetFault> faults) {
+    static SheetReading readSheet(JsonNode root, List<SheetFault> faults) {
         JsonFields fields = new JsonFields(root, "", faults);
         if (!fields.isObject()) {
             return new SheetReading.Invalid(0, faults);
--- a/guavathread-core/src/test/java/org/guavathread/core/membership/PeerTableTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/membership/PeerTableTest.java
@@ -1,6 +1,7 @@
 package org.guavathread.core.membership;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.stream.IntStream;
 
@@ -78,7 +79,7 @@
     }
 
     private static PeerReport report(long incarnation, boolean draining) {
-        return new PeerReport(new Incarnation(incarnation), new SheetVersion(1), draining, 0);
+        return new PeerReport(new Incarnation(incarnation), new SheetVersion(1), draining, 0, Optional.empty());
     }
 
     private static Sheet sheet(int hosts) {
