Notice callers that leave while their request is served

Cause: Grizzly stops reading from a connection while its request is suspended, so a caller that went away was noticed only when the answer was written; it also waits for the rest of a refused body before it closes the connection. Tried first: switching read interest off before the answer. It is applied asynchronously by the selector thread, and the next request of a kept-alive connection hung after 38 requests of 50; reverted. Change: a filter between transport and codec goes on reading; bytes of a further request are suspended there until the answer is complete. Refusals of incomplete bodies close the connection.

--- a/guavathread-router/src/main/java/org/guavathread/router/caller/CallerServer.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/CallerServer.java
@@ -43,6 +43,7 @@
     private final Clock clock;
     private final Consumer<CallerExchange> handler;
     private final HttpServer server = new HttpServer();
+    private final ConnectionGuard guard;
     private final Map<BodyReader, Boolean> receiving = new ConcurrentHashMap<>();
     private final ScheduledExecutorService housekeeping =
             Executors.newSingleThreadScheduledExecutor(CallerServer::housekeepingThread);
@@ -60,6 +61,7 @@
         this.ids = ids;
         this.clock = clock;
         this.handler = handler;
+        this.guard = new ConnectionGuard(clock);
     }
 
     @Override
@@ -75,6 +77,7 @@
         listener.getKeepAlive().setMaxRequestsCount(-1);
         listener.getTransport().setKeepAlive(true);
         listener.getTransport().setTcpNoDelay(true);
+        listener.registerAddOn(guard);
         server.addListener(listener);
         server.getServerConfiguration().addHttpHandler(new Handler(), "/");
         server.getServerConfiguration()
@@ -85,10 +88,7 @@
             throw new UncheckedIOException("Cannot listen for callers on " + listen + ": " + e.getMessage(), e);
         }
         housekeeping.scheduleWithFixedDelay(
-                () -> receiving.keySet().forEach(r -> r.expire(clock.nowMillis())),
-                HOUSEKEEPING_EVERY_MILLIS,
-                HOUSEKEEPING_EVERY_MILLIS,
-                TimeUnit.MILLISECONDS);
+                this::expire, HOUSEKEEPING_EVERY_MILLIS, HOUSEKEEPING_EVERY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -97,6 +97,12 @@
         server.shutdownNow();
     }
 
+    private void expire() {
+        long now = clock.nowMillis();
+        receiving.keySet().forEach(r -> r.expire(now));
+        guard.expire(now);
+    }
+
     private static Thread housekeepingThread(Runnable task) {
         Thread thread = new Thread(task, "caller-housekeeping");
         thread.setDaemon(true);
@@ -109,6 +115,7 @@
         @Override
         public void service(Request request, Response response) {
             response.suspend();
+            guard.headersReceived(request.getRequest().getConnection());
             BodyReader reader = new BodyReader(request, response);
             if (request.getContentLengthLong() > CallerLimits.MAX_BODY_BYTES) {
                 reader.refuseTooLarge();
@@ -150,7 +157,10 @@
             if (body.size() > CallerLimits.MAX_BODY_BYTES) {
                 refuseTooLarge();
             } else if (receiving.remove(this) != null) {
-                handler.accept(new GrizzlyExchange(ids.next(), request, response, body.toByteArray(), clock));
+                GrizzlyExchange exchange =
+                        new GrizzlyExchange(ids.next(), request, response, body.toByteArray(), guard, clock);
+                guard.serving(request.getRequest().getConnection());
+                handler.accept(exchange);
             }
         }
 
@@ -179,8 +189,9 @@
         }
 
         private void refuseAndClose(Refusal refusal) {
-            response.setHeader("Connection", "close");
-            new GrizzlyExchange(ids.next(), request, response, new byte[0], clock).refuse(refusal);
+            GrizzlyExchange exchange = new GrizzlyExchange(ids.next(), request, response, new byte[0], guard, clock);
+            exchange.closeAfterAnswer();
+            exchange.refuse(refusal);
         }
 
         private void readReady() throws IOException {
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/GrizzlyExchange.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/GrizzlyExchange.java
@@ -10,6 +10,7 @@
 import org.glassfish.grizzly.CloseListener;
 import org.glassfish.grizzly.CloseType;
 import org.glassfish.grizzly.Closeable;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.WriteHandler;
 import org.glassfish.grizzly.http.io.NIOOutputStream;
 import org.glassfish.grizzly.http.server.Request;
@@ -27,23 +28,31 @@
     private final Response response;
     private final byte[] body;
     private final long arrivedAtMillis;
+    private final ConnectionGuard guard;
     private final Clock clock;
     private final CloseListener<Closeable, CloseType> closeListener = (closeable, type) -> callerGone();
     private final AtomicBoolean answered = new AtomicBoolean();
     private final List<Runnable> onGone = new ArrayList<>();
     private boolean gone;
+    private boolean closeAfterAnswer;
     private volatile boolean complete;
 
-    GrizzlyExchange(RequestId id, Request request, Response response, byte[] body, Clock clock) {
+    GrizzlyExchange(RequestId id, Request request, Response response, byte[] body, ConnectionGuard guard, Clock clock) {
         this.id = id;
         this.request = request;
         this.response = response;
         this.body = body;
+        this.guard = guard;
         this.clock = clock;
         this.arrivedAtMillis = clock.nowMillis();
         request.getRequest().getConnection().addCloseListener(closeListener);
     }
 
+    /** Ends the connection with the answer, because a part of the request may still be on its way. */
+    void closeAfterAnswer() {
+        closeAfterAnswer = true;
+    }
+
     @Override
     public RequestId id() {
         return id;
@@ -153,8 +162,12 @@
         headers.forEach(response::setHeader);
         response.setHeader(CallerServer.REQUEST_ID_HEADER, id.value());
         response.setContentLength(content.length);
+        if (closeAfterAnswer) {
+            response.setHeader("Connection", "close");
+        }
         try {
             response.getOutputStream().write(content);
+            response.getOutputStream().flush();
         } catch (IOException e) {
             Logger.debug("The caller of {} was gone before its answer was written: {}.", id, e.getMessage());
         }
@@ -164,9 +177,16 @@
     private void resume() {
         // A kept-alive connection serves many requests; a listener left behind by each would pile up.
         request.getRequest().getConnection().removeCloseListener(closeListener);
+        if (closeAfterAnswer) {
+            // Grizzly would first read the rest of the body, which may never come.
+            request.getRequest().getConnection().closeSilently();
+        }
+        // Grizzly recycles the request when it resumes.
+        Connection<?> connection = request.getRequest().getConnection();
         if (response.isSuspended()) {
             response.resume();
         }
+        guard.served(connection);
     }
 
     /** Writes parts without blocking; a caller that takes nothing for too long loses the stream. */
--- /dev/null
+++ b/guavathread-router/src/test/java/org/guavathread/router/caller/CallerServerTest.java
@@ -0,0 +1,227 @@
+package org.guavathread.router.caller;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.id.Incarnation;
+import org.guavathread.core.request.Refusal;
+import org.guavathread.core.request.RefusalCode;
+import org.guavathread.core.sheet.SocketAddressText;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against bad input that holds threads, harms other callers or gets no clear answer, and against two answers. */
+class CallerServerTest {
+
+    private static final int SOCKET_TIMEOUT_MILLIS = 15_000;
+
+    private SocketAddressText address;
+    private CallerServer server;
+    private final AtomicReference<CallerExchange> latest = new AtomicReference<>();
+    private final CountDownLatch gone = new CountDownLatch(1);
+
+    @BeforeEach
+    void start() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            address = new SocketAddressText("127.0.0.1", free.getLocalPort());
+        }
+        RequestIds ids = new RequestIds(new HostId("h1"), new Incarnation(1));
+        server = new CallerServer(address, ids, System::currentTimeMillis, this::handle);
+        server.start();
+    }
+
+    @AfterEach
+    void stop() {
+        server.stop();
+    }
+
+    @Test
+    void bodyAndHeadersReachTheHandler() throws IOException {
+        String answer =
+                exchange("POST /echo?x=1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello");
+        assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+        assertTrue(answer.endsWith("POST /echo?x=1 hello"), answer);
+        assertTrue(answer.contains("Guavathread-Request-Id: h1-1-"), answer);
+    }
+
+    @Test
+    void keptAliveConnectionServesSeveralRequests() throws IOException {
+        try (Socket socket = connect()) {
+            for (int i = 0; i < 50; i++) {
+                send(socket, "GET /echo HTTP/1.1\r\nHost: a\r\n\r\n");
+                assertTrue(readUntil(socket, "GET /echo ").startsWith("HTTP/1.1 200"));
+            }
+        }
+    }
+
+    @Test
+    void announcedOversizedBodyIsRefused() throws IOException {
+        String answer = exchange("POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\nx");
+        assertTrue(answer.startsWith("HTTP/1.1 413"), answer);
+        assertTrue(answer.contains("\"TOO_LARGE\"") && answer.contains("\"not_run\""), answer);
+    }
+
+    @Test
+    void chunkedOversizedBodyIsRefused() throws IOException {
+        try (Socket socket = connect()) {
+            send(socket, "POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+            String chunk = "10000\r\n" + "x".repeat(0x10000) + "\r\n";
+            try {
+                for (int i = 0; i < 20; i++) {
+                    send(socket, chunk);
+                }
+            } catch (IOException e) {
+                // The server may close the connection before the whole body is written.
+            }
+            assertTrue(readAll(socket).contains("TOO_LARGE"));
+        }
+    }
+
+    @Test
+    void oversizedHeadersAreRefused() throws IOException {
+        String answer = exchange("GET /echo HTTP/1.1\r\nHost: a\r\nX-Large: " + "x".repeat(20_000) + "\r\n\r\n");
+        assertTrue(answer.isEmpty() || answer.startsWith("HTTP/1.1 4"), answer);
+        bodyAndHeadersReachTheHandler();
+    }
+
+    @Test
+    void malformedRequestLineHarmsNobodyElse() throws IOException {
+        exchange("\u0001\u0002nonsense\r\n\r\n");
+        bodyAndHeadersReachTheHandler();
+    }
+
+    @Test
+    void slowBodiesHoldNoThread() throws IOException {
+        Socket[] slow = new Socket[40];
+        for (int i = 0; i < slow.length; i++) {
+            slow[i] = connect();
+            send(slow[i], "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nonly a part");
+        }
+        bodyAndHeadersReachTheHandler();
+        String answer = readAll(slow[0]);
+        assertTrue(answer.startsWith("HTTP/1.1 400"), answer);
+        assertTrue(answer.contains("not complete"), answer);
+        for (Socket socket : slow) {
+            socket.close();
+        }
+    }
+
+    @Test
+    void closedConnectionIsReported() throws Exception {
+        try (Socket socket = connect()) {
+            send(socket, "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
+            waitForExchange();
+        }
+        assertTrue(gone.await(10, TimeUnit.SECONDS), "the handler must learn that the caller is gone");
+    }
+
+    @Test
+    void onlyTheFirstAnswerCounts() throws Exception {
+        try (Socket socket = connect()) {
+            send(socket, "GET /wait HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+            CallerExchange exchange = waitForExchange();
+            exchange.refuse(Refusal.notRun(RefusalCode.NO_ROOM, "first").retryAfter(1_500));
+            exchange.answer(200, Map.of(), "second".getBytes(StandardCharsets.UTF_8));
+            exchange.refuse(Refusal.notRun(RefusalCode.NO_ROOM, "third"));
+            String answer = readAll(socket);
+            assertTrue(answer.contains("first") && answer.contains("Retry-After: 2"), answer);
+            assertFalse(answer.contains("second") || answer.contains("third"), answer);
+        }
+    }
+
+    @Test
+    void streamArrivesInOrderAndWhole() throws Exception {
+        try (Socket socket = connect()) {
+            send(socket, "GET /wait HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+            Optional<CallerExchange.StreamBody> stream = waitForExchange().openStream("text/event-stream");
+            StringBuilder expected = new StringBuilder();
+            for (int i = 0; i < 2_000; i++) {
+                String part = "part " + i + ";";
+                expected.append(part);
+                assertTrue(stream.orElseThrow().write(part.getBytes(StandardCharsets.UTF_8)));
+            }
+            stream.orElseThrow().finish();
+            String answer = readAll(socket).replaceAll("\r\n[0-9a-f]+\r\n", "");
+            assertTrue(answer.contains("part 1999;"), "the end must arrive");
+            assertEquals(
+                    expected.length(),
+                    answer.substring(answer.indexOf("part 0;"))
+                            .replace("0\r\n\r\n", "")
+                            .trim()
+                            .length());
+        }
+    }
+
+    private void handle(CallerExchange exchange) {
+        if (exchange.path().equals("/wait")) {
+            exchange.onGone(gone::countDown);
+            latest.set(exchange);
+            return;
+        }
+        String text = exchange.method() + " " + exchange.path() + exchange.query() + " "
+                + new String(exchange.body(), StandardCharsets.UTF_8);
+        exchange.answer(200, Map.of("Content-Type", "text/plain"), text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private CallerExchange waitForExchange() throws InterruptedException {
+        long deadlineMillis = System.currentTimeMillis() + 10_000;
+        while (latest.get() == null && System.currentTimeMillis() < deadlineMillis) {
+            Thread.sleep(5);
+        }
+        return latest.get();
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket(address.ip(), address.port());
+        socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
+        return socket;
+    }
+
+    private String exchange(String request) throws IOException {
+        try (Socket socket = connect()) {
+            send(socket, request);
+            return readAll(socket);
+        }
+    }
+
+    private static void send(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    private static String readAll(Socket socket) throws IOException {
+        try {
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        } catch (java.net.SocketException e) {
+            return "";
+        }
+    }
+
+    private static String readUntil(Socket socket, String end) throws IOException {
+        InputStream in = socket.getInputStream();
+        StringBuilder text = new StringBuilder();
+        while (text.indexOf(end) < 0) {
+            int next = in.read();
+            if (next < 0) {
+                return text.toString();
+            }
+            text.append((char) next);
+        }
+        return text.toString();
+    }
+}
