Return a connection to its pool whenever its write ends

If the end of a write was reported while the answer was being completed, neither side returned the connection, and it was closed after 1 s. Each unused connection also had its own expiry timer, which adds up to one pending timer per request.

Change: the end of a write is handled under the lock of the exchange. A pool has one expiry timer. Silence is counted from the begin of the sending, so that a peer that reads nothing is noticed as well. New tests break a pooled connection between its check and the write, break a request that was partly written, and check that no slot of the pool is lost.

--- a/guavathread-router/src/main/java/org/guavathread/router/backend/BackendAnswerException.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/backend/BackendAnswerException.java
@@ -12,7 +12,7 @@
     private static final long serialVersionUID = 1L;
 
     private final String step;
-    private final transient SocketAddressText peer;
+    private final SocketAddressText peer;
     private final int status;
 
     /**
@@ -45,7 +45,7 @@
     /**
      * Tells which peer answered.
      *
-     * @return the address; null after Java serialization
+     * @return the address
      */
     public SocketAddressText peer() {
         return peer;
--- a/guavathread-router/src/main/java/org/guavathread/router/http/ConnectionPool.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/ConnectionPool.java
@@ -31,6 +31,7 @@
     private final Set<HttpExchange> waiting = new LinkedHashSet<>();
     private int slotsUsed;
     private boolean closed;
+    private boolean expiryArmed;
 
     ConnectionPool(
             SocketAddressText peer,
@@ -48,14 +49,16 @@
         List<PooledConnection> unfit = new ArrayList<>();
         PooledConnection found;
         boolean connect = false;
-        boolean full = false;
+        String refusal = null;
         synchronized (this) {
             found = takeIdle(exchange, unfit);
             if (found == null && !closed && slotsUsed < settings.maxConnections()) {
                 slotsUsed++;
                 connect = true;
-            } else if (found == null && (closed || waiting.size() >= settings.maxWaiting())) {
-                full = true;
+            } else if (found == null && closed) {
+                refusal = "the client is closed";
+            } else if (found == null && waiting.size() >= settings.maxWaiting()) {
+                refusal = settings.maxWaiting() + " requests already wait for a connection";
             } else if (found == null) {
                 waiting.add(exchange);
             }
@@ -65,9 +68,8 @@
             exchange.onConnection(found);
         } else if (connect) {
             connect(exchange);
-        } else if (full) {
-            exchange.failNotSent(
-                    HttpStep.POOL, settings.maxWaiting() + " requests already wait for a connection", null);
+        } else if (refusal != null) {
+            exchange.failNotSent(HttpStep.POOL, refusal, null);
         }
     }
 
@@ -113,7 +115,7 @@
             discard(connection);
             return;
         }
-        timers.at(connection.idleSinceMillis() + settings.idleMillis(), this::closeExpired);
+        armExpiry();
         serveNext();
     }
 
@@ -129,9 +131,23 @@
         timers.soon(this::serveNext);
     }
 
+    /** Keeps one timer for the whole pool; one for each release would add up to many thousands. */
+    private void armExpiry() {
+        long atMillis;
+        synchronized (this) {
+            if (expiryArmed || idle.isEmpty()) {
+                return;
+            }
+            expiryArmed = true;
+            atMillis = idle.getLast().idleSinceMillis() + settings.idleMillis();
+        }
+        timers.at(atMillis, this::closeExpired);
+    }
+
     private void closeExpired() {
         List<PooledConnection> expired = new ArrayList<>();
         synchronized (this) {
+            expiryArmed = false;
             long now = timers.nowMillis();
             for (Iterator<PooledConnection> each = idle.iterator(); each.hasNext(); ) {
                 PooledConnection next = each.next();
@@ -142,6 +158,7 @@
             }
         }
         expired.forEach(this::discard);
+        armExpiry();
     }
 
     /** Lets the longest waiting exchange try again, if a connection or a slot is free. */
--- a/guavathread-router/src/main/java/org/guavathread/router/http/HttpAnswerListener.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/HttpAnswerListener.java
@@ -4,7 +4,8 @@
  * Receives a streamed answer.
  *
  * <p>Calls never overlap and come in the order of the stream. Exactly one of {@link #onDone} and {@link #onFailure} is
- * the last call. The calls run on the client's worker threads and must not block.
+ * the last call. The calls run on threads of the client, or on the calling thread if the exchange ends at once, and must
+ * not block.
  */
 public interface HttpAnswerListener {
 
--- a/guavathread-router/src/main/java/org/guavathread/router/http/HttpExchange.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/HttpExchange.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 import org.glassfish.grizzly.Buffer;
@@ -114,6 +115,8 @@
                     connection = open;
                     sending = Sending.WRITING;
                     open.bind(this);
+                    lastArrivalMillis = timers.nowMillis();
+                    armSilence();
                 }
             }
         }
@@ -171,38 +174,32 @@
 
     private void onWritten(PooledConnection open) {
         boolean wasClosed;
-        if (endsWait(open)) {
-            pool.release(open);
-            return;
-        }
+        boolean complete;
         synchronized (this) {
-            if (ended || connection != open) {
+            complete = endsWait(open);
+            if (!complete && (ended || connection != open)) {
                 return;
             }
             sending = Sending.WRITTEN;
             step = headSeen ? HttpStep.ANSWER_BODY : HttpStep.ANSWER_HEAD;
             wasClosed = closed;
-            if (!wasClosed && request.silenceMillis() != Long.MAX_VALUE) {
-                lastArrivalMillis = timers.nowMillis();
-                armSilence();
-            }
         }
-        if (wasClosed) {
+        if (complete) {
+            pool.release(open);
+        } else if (wasClosed) {
             fail("the connection was closed", closeCause);
         }
     }
 
     private void onWriteFailed(PooledConnection open, Throwable cause) {
         boolean retry;
-        if (endsWait(open)) {
-            pool.discard(open);
-            return;
-        }
+        boolean complete;
         synchronized (this) {
-            if (ended || connection != open) {
+            complete = endsWait(open);
+            if (!complete && (ended || connection != open)) {
                 return;
             }
-            if (open.writtenBytes() > 0) {
+            if (complete || open.writtenBytes() > 0) {
                 sending = Sending.WRITTEN;
                 retry = false;
             } else {
@@ -213,6 +210,10 @@
                 closed = false;
             }
         }
+        if (complete) {
+            pool.discard(open);
+            return;
+        }
         if (open.writtenBytes() > 0) {
             fail("the connection broke while the request was written", cause);
             return;
@@ -354,7 +355,8 @@
 
     private static boolean keepsAlive(HttpResponsePacket response) {
         String value = response.getHeader("Connection");
-        return response.getProtocol() == Protocol.HTTP_1_1 && !"close".equalsIgnoreCase(value);
+        boolean closes = value != null && value.toLowerCase(Locale.ROOT).contains("close");
+        return response.getProtocol() == Protocol.HTTP_1_1 && !closes;
     }
 
     @Override
@@ -411,6 +413,12 @@
     }
 
     private void armSilence() {
+        if (silence != null) {
+            silence.cancel();
+        }
+        if (request.silenceMillis() == Long.MAX_VALUE) {
+            return;
+        }
         silence = timers.at(lastArrivalMillis + request.silenceMillis(), this::checkSilence);
     }
 
--- a/guavathread-router/src/main/java/org/guavathread/router/http/HttpExchangeException.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/HttpExchangeException.java
@@ -8,7 +8,7 @@
 public abstract class HttpExchangeException extends IOException {
 
     private final HttpStep step;
-    private final transient SocketAddressText peer;
+    private final SocketAddressText peer;
 
     HttpExchangeException(HttpStep step, SocketAddressText peer, String message, Throwable cause) {
         super(message, cause);
@@ -28,7 +28,7 @@
     /**
      * Tells which peer the request was meant for.
      *
-     * @return the address; null after Java serialization
+     * @return the address
      */
     public SocketAddressText peer() {
         return peer;
--- a/guavathread-router/src/main/java/org/guavathread/router/http/HttpRequest.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/HttpRequest.java
@@ -207,8 +207,8 @@
         }
 
         /**
-         * Sets for how long nothing may arrive after the request was sent and between two parts of the answer. A
-         * connection on which nothing arrives for longer is closed. The default is no limit.
+         * Sets for how long nothing may arrive, counted from the begin of the sending and from each part of the answer.
+         * A connection on which nothing arrives for longer is closed. The default is no limit.
          *
          * @param millis milliseconds
          * @return this builder
--- a/guavathread-router/src/test/java/org/guavathread/router/backend/ServiceAndPlatformAdaptersTest.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/backend/ServiceAndPlatformAdaptersTest.java
@@ -34,6 +34,7 @@
         ServiceAnswer answer = get(call(service, "r1", in(20_000)));
         assertEquals(200, answer.status());
         assertTrue(text(answer.body()).contains("\"echo\":{\"bin\":7}"), text(answer.body()));
+        assertEquals(List.of("application/json"), answer.headers().get("Content-Type"));
         assertEquals(1, service.runsWith("Idempotency-Key", "k-r1"));
         assertEquals(1, service.runs("r1"));
         assertFalse(service.received().everContained(API_KEY));
--- a/guavathread-router/src/test/java/org/guavathread/router/http/HttpClientTest.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/http/HttpClientTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 
 import org.guavathread.core.sheet.SocketAddressText;
 import org.junit.jupiter.api.AfterEach;
@@ -94,6 +95,64 @@
         assertEquals(2, peer.connections());
     }
 
+    @Test
+    void requestIsSentAgainIfItsConnectionWasResetBeforeTheFirstByte() throws Exception {
+        // The clock is read before the check of the pooled connection and between the check and the write.
+        for (int reading = 1; reading <= 4; reading++) {
+            checkNextRequestAfter(reading, ScriptedPeer::resetConnections);
+        }
+    }
+
+    @Test
+    void connectionThatThePeerClosesDuringTheRequestForItIsNotUsed() throws Exception {
+        // Only the first two readings of the clock come before the check of the pooled connection.
+        for (int i = 0; i < 20; i++) {
+            checkNextRequestAfter(1 + i % 2, ScriptedPeer::closeConnections);
+        }
+    }
+
+    /** Breaks the pooled connection at one reading of the clock after a non-repeatable request was handed over. */
+    private void checkNextRequestAfter(int reading, Consumer<ScriptedPeer> breaking) throws Exception {
+        ScriptedPeer peer = peer((head, out, socket) -> ScriptedPeer.ok(out, "x"));
+        AtomicLong untilBreak = new AtomicLong(Long.MAX_VALUE);
+        HttpClient client = HttpClient.start(HttpClientSettings.DEFAULTS, () -> {
+            if (untilBreak.decrementAndGet() == 0) {
+                breaking.accept(peer);
+            }
+            return 1_000;
+        });
+        open.add(client);
+        send(client, peer, "/first").get(20, TimeUnit.SECONDS);
+        Polling.until("connection is back in the pool", () -> client.idleConnections(peer.address()) == 1);
+        untilBreak.set(reading);
+        HttpRequest next = HttpRequest.post("/book").nonRepeatable().build();
+        assertEquals(
+                200, client.send(peer.address(), next).get(20, TimeUnit.SECONDS).status());
+        assertEquals(1, peer.received("/book"));
+        assertEquals(2, peer.connections());
+    }
+
+    @Test
+    void requestThatWasPartlyWrittenMayHaveRun() throws Exception {
+        ScriptedPeer stalling = peer((head, out, socket) -> {
+            await(new CountDownLatch(1));
+            return false;
+        });
+        ScriptedPeer closing = peer((head, out, socket) -> false);
+        HttpClient client = client(HttpClientSettings.DEFAULTS);
+        for (ScriptedPeer peer : List.of(stalling, closing)) {
+            HttpRequest large = HttpRequest.post("/large")
+                    .body(new byte[64 * 1024 * 1024])
+                    .silenceMillis(300)
+                    .nonRepeatable()
+                    .build();
+            HttpExchangeException failure = failureOf(client.send(peer.address(), large));
+            assertInstanceOf(ExchangeFailedException.class, failure);
+            assertEquals(HttpStep.SEND, failure.step());
+            assertEquals(1, peer.received("/large"));
+        }
+    }
+
     @Test
     void silentStreamIsFailedAndItsConnectionClosed() throws Exception {
         ScriptedPeer peer = peer((head, out, socket) -> ScriptedPeer.text(out, CHUNKED + "5\r\nhello\r\n"));
--- a/guavathread-router/src/test/java/org/guavathread/router/http/RunReportProperties.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/http/RunReportProperties.java
@@ -43,6 +43,9 @@
             for (int id = 0; id < answers.size(); id++) {
                 check(peer, answers.get(id), id);
             }
+            Polling.until(
+                    "no slot of the pool is lost",
+                    () -> client.connections(peer.address()) == client.idleConnections(peer.address()));
         }
     }
 
--- a/guavathread-router/src/test/java/org/guavathread/router/http/ScriptedPeer.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/http/ScriptedPeer.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -65,6 +66,35 @@
         return ended.get();
     }
 
+    /** Resets all connections and waits until that is done, so that the next write to one fails. */
+    void resetConnections() {
+        endConnections(true);
+    }
+
+    /** Closes all connections in the orderly way and waits until that is done. */
+    void closeConnections() {
+        endConnections(false);
+    }
+
+    private void endConnections(boolean reset) {
+        for (Socket socket : sockets) {
+            try {
+                if (reset) {
+                    socket.setSoLinger(true, 0);
+                }
+                socket.close();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+        try {
+            // A thread that reads from a socket holds it open until it has woken up.
+            Polling.until("connections are ended", () -> ended.get() == sockets.size());
+        } catch (InterruptedException e) {
+            throw new IllegalStateException("The test was interrupted.", e);
+        }
+    }
+
     private void accept() {
         try {
             while (true) {
