Bound the memory that the stand-ins use for their records

Cause: the log of received requests kept 20,000 bodies of any length, and the plain service copied its list of runs with each run.

Change: the log keeps at most 32 Mi characters; the list of runs is a plain list under a lock. The decode engine no longer records requests that it refuses.

--- a/guavathread-standin/src/main/java/org/guavathread/standin/FakeDecodeEngine.java
+++ b/guavathread-standin/src/main/java/org/guavathread/standin/FakeDecodeEngine.java
@@ -152,8 +152,10 @@
         synchronized (this) {
             prompt = prompts.get(requestId);
             decoding = nextDecoding++;
-            decodings.put(requestId, decoding);
-            state(requestId, "decoding");
+            if (prompt != null) {
+                decodings.put(requestId, decoding);
+                state(requestId, "decoding");
+            }
         }
         if (prompt == null) {
             call.answer(409);
--- a/guavathread-standin/src/main/java/org/guavathread/standin/FakePlainService.java
+++ b/guavathread-standin/src/main/java/org/guavathread/standin/FakePlainService.java
@@ -1,9 +1,9 @@
 package org.guavathread.standin;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CopyOnWriteArrayList;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -19,7 +19,7 @@
 public final class FakePlainService extends Standin {
 
     private final long runMillis;
-    private final List<Run> runs = new CopyOnWriteArrayList<>();
+    private final List<Run> runs = new ArrayList<>();
 
     private FakePlainService(Builder builder) {
         super(builder.port);
@@ -50,7 +50,7 @@
      *
      * @return the runs in the order in which they began
      */
-    public List<Run> allRuns() {
+    public synchronized List<Run> allRuns() {
         return List.copyOf(runs);
     }
 
@@ -61,7 +61,7 @@
      * @param value its value
      * @return the count; it outlives crashes
      */
-    public int runsWith(String header, String value) {
+    public synchronized int runsWith(String header, String value) {
         return (int) runs.stream()
                 .filter(run -> value.equals(run.headers().get(header)))
                 .count();
@@ -69,9 +69,9 @@
 
     @Override
     void run(Call call) throws IOException {
-        runs.add(new Run(call.method(), call.path(), call.headers(), call.text()));
+        int number = record(call);
         countRun(call.header(Call.REQUEST_ID));
-        JsonNode answer = answerTo(call, runs.size());
+        JsonNode answer = answerTo(call, number);
         if (runMillis <= 0) {
             call.answer(200, answer);
         } else {
@@ -79,6 +79,11 @@
         }
     }
 
+    private synchronized int record(Call call) {
+        runs.add(new Run(call.method(), call.path(), call.headers(), call.text()));
+        return runs.size();
+    }
+
     private static JsonNode answerTo(Call call, int run) {
         ObjectNode answer = Call.MAPPER
                 .createObjectNode()
@@ -110,7 +115,7 @@
             return true;
         }
         ArrayNode list = Call.MAPPER.createArrayNode();
-        runs.forEach(run -> list.add(Call.MAPPER.valueToTree(run)));
+        allRuns().forEach(run -> list.add(Call.MAPPER.valueToTree(run)));
         call.answer(200, list);
         return true;
     }
--- a/guavathread-standin/src/main/java/org/guavathread/standin/ReceivedLog.java
+++ b/guavathread-standin/src/main/java/org/guavathread/standin/ReceivedLog.java
@@ -14,10 +14,13 @@
 public final class ReceivedLog {
 
     private static final int MAX_KEPT = 20_000;
+    // Prompts of tens of thousands of tokens would otherwise take gigabytes.
+    private static final long MAX_KEPT_CHARS = 32 * 1024 * 1024;
 
     private final Deque<Received> kept = new ArrayDeque<>();
     private final Map<String, Boolean> watched = new LinkedHashMap<>();
     private long total;
+    private long keptChars;
 
     /**
      * A request as it arrived.
@@ -29,6 +32,12 @@
      */
     public record Received(String method, String target, Map<String, String> headers, String body) {
 
+        int chars() {
+            return target.length()
+                    + body.length()
+                    + headers.values().stream().mapToInt(String::length).sum();
+        }
+
         boolean contains(String text) {
             return target.contains(text)
                     || body.contains(text)
@@ -42,8 +51,9 @@
         total++;
         watched.replaceAll((text, seen) -> seen || request.contains(text));
         kept.addLast(request);
-        if (kept.size() > MAX_KEPT) {
-            kept.removeFirst();
+        keptChars += request.chars();
+        while (kept.size() > MAX_KEPT || keptChars > MAX_KEPT_CHARS) {
+            keptChars -= kept.removeFirst().chars();
         }
     }
 
