--- /dev/null
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/placement/Router.java
@@ -0,0 +1,156 @@
+package org.guavathread.bench.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.guavathread.core.placement.PlaceRelease.Ending;
+import org.guavathread.core.retry.RetryBudget;
+
+/** Runs requests on pairs of engines; subclasses decide which pair and when. */
+abstract class Router {
+
+    /** A stream without a token for this long is taken as broken. */
+    private static final long SILENT_MICROS = 500_000;
+
+    /** A prefill without an answer for this long is taken as lost. */
+    private static final long PREFILL_TIMEOUT_MICROS = 2_000_000;
+
+    final Fleet fleet;
+    final EventLoop loop;
+    private final List<RetryBudget> budgets = new ArrayList<>();
+
+    Router(Fleet fleet) {
+        this.fleet = fleet;
+        loop = fleet.loop;
+        for (int h = 0; h < Deployment.HOSTS; h++) {
+            budgets.add(new RetryBudget());
+        }
+        fleet.prefills.forEach(p -> p.listener(this::prefillDone, a -> lost(a, Ending.PREFILL_FAILED)));
+        fleet.decodes.forEach(
+                d -> d.listener(this::token, a -> ended(a, Ending.FINISHED), a -> lost(a, Ending.DECODE_FAILED)));
+    }
+
+    /** Starts what runs without requests, such as load reports. */
+    abstract void start(long untilMicros);
+
+    /** Takes a request that arrived at its host, or that has to be placed again. */
+    abstract void place(SimRequest request);
+
+    /** Tells the policy of a successful prefill, at the engine. */
+    void onPrefillDone(Attempt attempt) {}
+
+    /** Tells the policy of the end of an attempt, at the host. */
+    void onEnded(Attempt attempt, Ending ending) {}
+
+    long hostHop(Attempt attempt, int engineDataCentre) {
+        return fleet.deployment.hopMicros(fleet.dataCentreOfHost(attempt.request.host), engineDataCentre);
+    }
+
+    void arrived(SimRequest request) {
+        budgets.get(request.host).requestStarted();
+        place(request);
+    }
+
+    /** Runs a request, at its host. With pieces above 0 they are reserved before the prefill starts. */
+    void run(SimRequest request, FakePrefill prefill, FakeDecode decode, int pieces) {
+        Attempt attempt = new Attempt(request, prefill, decode);
+        attempt.pieces = pieces;
+        request.attempt = attempt;
+        attempt.progressMicros = loop.nowMicros();
+        long toDecode = hostHop(attempt, decode.dataCentre);
+        if (pieces == 0) {
+            loop.afterOrNow(hostHop(attempt, prefill.dataCentre), () -> submit(attempt));
+        } else {
+            loop.afterOrNow(toDecode, () -> reserve(attempt, toDecode));
+        }
+        watch(attempt);
+    }
+
+    private void reserve(Attempt attempt, long toDecode) {
+        if (!attempt.isCurrent()) {
+            return;
+        }
+        boolean reserved = attempt.decode.answers() && attempt.decode.reserve(attempt, attempt.pieces);
+        if (reserved) {
+            loop.afterOrNow(toDecode + hostHop(attempt, attempt.prefill.dataCentre), () -> submit(attempt));
+        } else {
+            Ending ending = attempt.decode.answers() ? Ending.DECODE_FULL : Ending.DECODE_FAILED;
+            loop.after(toDecode, () -> ended(attempt, ending));
+        }
+    }
+
+    private void submit(Attempt attempt) {
+        if (attempt.isCurrent()) {
+            attempt.prefill.submit(attempt);
+        }
+    }
+
+    private void prefillDone(Attempt attempt) {
+        onPrefillDone(attempt);
+        attempt.progressMicros = loop.nowMicros();
+        long hops = hostHop(attempt, attempt.prefill.dataCentre) + hostHop(attempt, attempt.decode.dataCentre);
+        loop.afterOrNow(hops, () -> {
+            if (attempt.isCurrent() && attempt.stage == Attempt.Stage.KEPT) {
+                attempt.decode.pull(attempt);
+            }
+        });
+    }
+
+    private void token(Attempt attempt) {
+        if (attempt.isCurrent()) {
+            attempt.progressMicros = loop.nowMicros();
+            long toClient = hostHop(attempt, attempt.decode.dataCentre) + fleet.deployment.clientMicros();
+            attempt.request.token(loop.nowMicros(), toClient);
+        }
+    }
+
+    private void lost(Attempt attempt, Ending ending) {
+        loop.after(hostHop(attempt, attempt.decode.dataCentre), () -> ended(attempt, ending));
+    }
+
+    private void watch(Attempt attempt) {
+        loop.after(SILENT_MICROS / 2, () -> {
+            if (!attempt.isCurrent()) {
+                return;
+            }
+            boolean decoding = attempt.stage == Attempt.Stage.DECODE;
+            long silent = loop.nowMicros() - attempt.progressMicros;
+            if (silent > (decoding ? SILENT_MICROS : PREFILL_TIMEOUT_MICROS)) {
+                boolean prefilled = decoding || attempt.stage == Attempt.Stage.TRANSFER;
+                ended(attempt, prefilled ? Ending.DECODE_FAILED : Ending.PREFILL_FAILED);
+            } else {
+                watch(attempt);
+            }
+        });
+    }
+
+    private void ended(Attempt attempt, Ending ending) {
+        if (!attempt.isCurrent()) {
+            return;
+        }
+        boolean unused = attempt.produced == 0
+                && (attempt.stage == Attempt.Stage.KEPT
+                        || attempt.stage == Attempt.Stage.TRANSFER
+                        || attempt.stage == Attempt.Stage.DECODE);
+        if (unused) {
+            fleet.tally.wasted(attempt.computedTokens);
+        }
+        attempt.stage = Attempt.Stage.ENDED;
+        attempt.prefill.cancel(attempt);
+        loop.afterOrNow(hostHop(attempt, attempt.decode.dataCentre), () -> attempt.decode.release(attempt));
+        onEnded(attempt, ending);
+        SimRequest request = attempt.request;
+        if (ending == Ending.FINISHED) {
+            request.finished = true;
+        } else if (ending == Ending.DECODE_FULL) {
+            place(request);
+        } else if (budgets.get(request.host).tryRetry(request.id, request.kind)) {
+            place(request);
+        } else {
+            request.failed = true;
+        }
+        if (request.isAnswered()) {
+            budgets.get(request.host).requestEnded(request.id);
+        }
+    }
+}
--- /dev/null
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/placement/Tally.java
@@ -0,0 +1,20 @@
+package org.guavathread.bench.placement;
+
+/** Counts prefill work. */
+final class Tally {
+
+    private long computedTokens;
+    private long wastedTokens;
+
+    void computed(int tokens) {
+        computedTokens += tokens;
+    }
+
+    void wasted(int tokens) {
+        wastedTokens += tokens;
+    }
+
+    double wastedShare() {
+        return computedTokens == 0 ? 0 : wastedTokens / (double) computedTokens;
+    }
+}
--- /dev/null
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Placement against fake engines on a virtual clock, compared with simpler policies and an omniscient queue. */
+package org.guavathread.bench.placement;
