Refuse urgent requests early only on a learned output length

Cause: before the first sample the expected output is half the limit, 256 tokens or 6.7 s, so each urgent request with a deadline of 5 s was refused and no sample ever came.

Change: the early refusal counts the output only when its length is known. The measurement also lists the share of each workspace.

--- a/guavathread-bench/src/main/java/org/guavathread/bench/placement/PlacementScenario.java
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/placement/PlacementScenario.java
@@ -4,8 +4,11 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 
 import org.HdrHistogram.Histogram;
 import org.guavathread.bench.Scenario;
@@ -121,6 +124,7 @@
         row.put("goodput_of_omniscient", rounded(result.met() / (double) best.met()));
         row.put("wasted_prefill", rounded(result.wasted()));
         row.put("worst_workspace_share", rounded(worstShare(result, best)));
+        row.put("workspace_shares", workspaceShares(result, best));
         row.put("wrongful_refusals", rounded(wrongfulRefusals(all)));
         row.put(
                 "failed",
@@ -149,20 +153,30 @@
         return refused / (double) Math.max(1, within);
     }
 
-    /** Divides each workspace's tokens in goodput by its fair share of those that the omniscient queue served. */
     private static double worstShare(Result result, Result best) {
+        return shares(result, best).values().stream()
+                .mapToDouble(Double::doubleValue)
+                .reduce(1, Math::min);
+    }
+
+    private static String workspaceShares(Result result, Result best) {
+        return shares(result, best).values().stream()
+                .map(s -> String.format(Locale.ROOT, "%.2f", s))
+                .collect(Collectors.joining(","));
+    }
+
+    /** Divides each workspace's tokens in goodput by its fair share of those that the omniscient queue served. */
+    private static Map<WorkspaceId, Double> shares(Result result, Result best) {
         Map<WorkspaceId, Double> got = metTokens(result);
         Map<WorkspaceId, Double> offered = new HashMap<>();
         best.requests().forEach(r -> offered.merge(r.workspace, (double) r.tokens(), Double::sum));
         double total = metTokens(best).values().stream()
                 .mapToDouble(Double::doubleValue)
                 .sum();
-        Map<WorkspaceId, Double> fair = maxMin(offered, total);
-        double worst = 1;
-        for (Map.Entry<WorkspaceId, Double> each : fair.entrySet()) {
-            worst = Math.min(worst, got.getOrDefault(each.getKey(), 0.0) / each.getValue());
-        }
-        return worst;
+        Map<WorkspaceId, Double> shares = new TreeMap<>();
+        maxMin(offered, total)
+                .forEach((workspace, fair) -> shares.put(workspace, got.getOrDefault(workspace, 0.0) / fair));
+        return shares;
     }
 
     private static Map<WorkspaceId, Double> metTokens(Result result) {
--- a/guavathread-core/src/main/java/org/guavathread/core/placement/OutputEstimator.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/OutputEstimator.java
@@ -34,6 +34,12 @@
         return (int) Math.max(1, Math.min(maxOutputTokens, expected));
     }
 
+    /** Estimates an output for a refusal, which needs evidence: 0 before the first sample. */
+    int knownTokens(PlaceRequest request) {
+        boolean known = samples.containsKey(new Key(request.workspace(), request.kind()));
+        return known ? expectedTokens(request.workspace(), request.kind(), request.maxOutputTokens()) : 0;
+    }
+
     void record(WorkspaceId workspace, RequestKind kind, int outputTokens) {
         Key key = new Key(workspace, kind);
         Sample sample = samples.get(key);
--- a/guavathread-core/src/main/java/org/guavathread/core/placement/PlacementCell.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/PlacementCell.java
@@ -318,7 +318,7 @@
         boolean deferrable = request.kind().priorityClass() > 0;
         long refuseAt = deferrable
                 ? request.deadlineMillis()
-                : request.deadlineMillis() - service - (long) expected * settings.tokenMillis();
+                : request.deadlineMillis() - service - (long) settings.tokenMillis() * outputs.knownTokens(request);
         if (!deferrable && nowMillis + fastWaitMillis() > refuseAt) {
             refuse(request, PlacementRefusals.tooLate(estimatedWaitMillis()), actions);
             return;
