--- a/guavathread-bench/src/main/java/org/guavathread/bench/GuavathreadBench.java
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/GuavathreadBench.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 
 import org.guavathread.bench.claims.ClaimsScenario;
+import org.guavathread.bench.placement.PlacementScenario;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -45,6 +46,7 @@
     private static List<Scenario> scenarios() {
         List<Scenario> scenarios = new ArrayList<>();
         scenarios.add(new ClaimsScenario());
+        scenarios.add(new PlacementScenario());
         return scenarios;
     }
 
