--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/drain/package-info.java
@@ -0,0 +1,2 @@
+/** How a host ends without cutting off a request. */
+package org.guavathread.core.drain;
--- a/guavathread-core/src/main/java/org/guavathread/core/membership/EpochTracker.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/membership/EpochTracker.java
@@ -37,6 +37,12 @@
     /** What is left of a lease after one calm interval; less means that a ping was lost. */
     private static final long COMFORTABLE_LEASE_MILLIS = EpochLease.DURATION_MILLIS - CALM_PING_MILLIS;
 
+    /**
+     * A restarted host also asks some leaving hosts, which may be the only ones that know the epochs before: if all
+     * witnesses of an epoch are new hosts, nobody among them does.
+     */
+    private static final int LEAVING_ASKED = 5;
+
     private final HostId self;
     private final Incarnation incarnation;
     private final WitnessRestart restart;
@@ -161,6 +167,10 @@
         Set<HostId> targets = new TreeSet<>(leaseWitnesses(current).hosts());
         if (!numberKnown || !restart.isDone()) {
             targets.addAll(current.allWitnesses());
+            sheet.hosts().values().stream()
+                    .filter(host -> !host.isActive())
+                    .limit(LEAVING_ASKED)
+                    .forEach(host -> targets.add(host.id()));
         }
         if (!settled && numberKnown) {
             if (isWitness(current)) {
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/order/FencingNumber.java
@@ -0,0 +1,29 @@
+package org.guavathread.core.order;
+
+/**
+ * Number of an order; an engine that checks numbers refuses an order with a smaller one than it has seen.
+ *
+ * @param value the number
+ */
+public record FencingNumber(long value) implements Comparable<FencingNumber> {
+
+    /** Smaller than the number of any order. */
+    public static final FencingNumber NONE = new FencingNumber(0);
+
+    /**
+     * Gives the number of the next order to an engine.
+     *
+     * @param nowMillis the current time
+     * @param lastIssued the last number that this host used for the engine
+     * @param reported the number in a report that the engine made after this host became its issuer
+     * @return the largest of the time, {@code lastIssued + 1} and {@code reported + 1}
+     */
+    public static FencingNumber next(long nowMillis, FencingNumber lastIssued, FencingNumber reported) {
+        return new FencingNumber(Math.max(nowMillis, Math.max(lastIssued.value, reported.value) + 1));
+    }
+
+    @Override
+    public int compareTo(FencingNumber other) {
+        return Long.compare(value, other.value);
+    }
+}
