--- a/guavathread-bench/src/main/java/org/guavathread/bench/GuavathreadBench.java
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/GuavathreadBench.java
@@ -7,6 +7,7 @@
 
 import org.guavathread.bench.claims.ClaimsScenario;
 import org.guavathread.bench.placement.PlacementScenario;
+import org.guavathread.bench.configuration.ConfigurationScenario;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -47,6 +48,7 @@
         List<Scenario> scenarios = new ArrayList<>();
         scenarios.add(new ClaimsScenario());
         scenarios.add(new PlacementScenario());
+        scenarios.add(new ConfigurationScenario());
         return scenarios;
     }
 
