Bound the abort of a claim by the arrival of its request

The rule that failed is common to all designs.

Change: not_run is told at the latest confirmMillis after the dispatch limit of the request, and claims are remembered for that much longer. Timers in the simulator now replace each other as the shell's do, epoch changes can replace a majority of the voters, and voters without abstention take every epoch for settled, so that the variants differ.

--- a/guavathread-bench/src/main/java/org/guavathread/bench/claims/SimCall.java
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/claims/SimCall.java
@@ -59,6 +59,10 @@
         reachedAtMillis = time.nowMillis();
     }
 
+    HostId host() {
+        return host;
+    }
+
     boolean hasReached() {
         return reachedAtMillis != NEVER;
     }
--- a/guavathread-bench/src/main/java/org/guavathread/bench/claims/SimEpochs.java
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/claims/SimEpochs.java
@@ -1,9 +1,11 @@
 package org.guavathread.bench.claims;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
+import org.guavathread.core.id.HostEpoch;
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.membership.EpochMembers;
 import org.guavathread.core.membership.EpochView;
@@ -22,6 +24,7 @@
 
     private final List<EpochMembers> published;
     private final List<EpochView.Superseded> earlier = new ArrayList<>();
+    private final Map<HostEpoch, List<HostId>> witnessesByEpoch = new HashMap<>();
     private EpochMembers current;
     private long leaseDeadlineMillis;
     private long adoptedAtMillis;
@@ -106,7 +109,7 @@
         return knowing >= EpochMembers.majorityOf(witnesses.size());
     }
 
-    private static List<HostId> witnesses(EpochMembers members) {
-        return members.owners("witness", WITNESSES);
+    private List<HostId> witnesses(EpochMembers members) {
+        return witnessesByEpoch.computeIfAbsent(members.epoch(), e -> members.owners("witness", WITNESSES));
     }
 }
--- a/guavathread-bench/src/main/java/org/guavathread/bench/claims/SimHost.java
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/claims/SimHost.java
@@ -1,10 +1,13 @@
 package org.guavathread.bench.claims;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 import org.guavathread.core.claim.AttemptIds;
@@ -23,6 +26,7 @@
 import org.guavathread.core.claim.OutcomeReply;
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.id.Incarnation;
+import org.guavathread.core.membership.EpochView;
 import org.guavathread.core.message.PeerMessage;
 import org.guavathread.core.request.Refusal;
 import org.guavathread.core.request.RefusalCode;
@@ -41,6 +45,9 @@
     private final SplittableRandom random;
     private final Map<SimCall, ClaimCoordinator> coordinators = new LinkedHashMap<>();
 
+    private final Set<SimCall> open = new LinkedHashSet<>();
+    private final Map<SimCall, Long> wakeAtMillis = new HashMap<>();
+
     private int life;
     private boolean up;
     private long pausedUntilMillis;
@@ -93,21 +100,33 @@
         voter = new ClaimVoter(id, incarnation, forgets ? startClock : 0, simulator.settings());
         log = new AttemptLog(simulator.settings());
         ids = new AttemptIds(id, incarnation, random);
-        voter.observe(epochs.view(), clock());
+        voter.observe(voterView(), clock());
         int thisLife = life;
         simulator.time().after(1 + random.nextInt((int) SimEpochs.PING_MILLIS), () -> ping(thisLife));
     }
 
+    /** A voter that does not abstain takes every epoch for settled, as if it had always run. */
+    private EpochView voterView() {
+        EpochView view = epochs.view();
+        return simulator.design().abstainsAfterRestart()
+                ? view
+                : new EpochView(view.current(), view.leaseDeadlineMillis(), 0, 0, view.earlier());
+    }
+
     void kill() {
+        simulator.trace(id, "killed");
         up = false;
         life++;
         pausedUntilMillis = 0;
-        coordinators.keySet().forEach(SimCall::hostDied);
+        open.forEach(SimCall::hostDied);
+        open.clear();
         coordinators.clear();
+        wakeAtMillis.clear();
     }
 
     void restart() {
         if (!up) {
+            simulator.trace(id, "restarted");
             SimEpochs fresh = new SimEpochs(simulator.published(), simulator.newestReachable(id), clock());
             start(simulator.time().nowMillis(), fresh);
         }
@@ -115,9 +134,10 @@
 
     void pause(long millis) {
         if (up && !isPaused()) {
+            simulator.trace(id, "paused for", millis);
             pauseStartMillis = simulator.time().nowMillis();
             pausedUntilMillis = pauseStartMillis + millis;
-            coordinators.keySet().forEach(SimCall::hostPaused);
+            open.forEach(SimCall::hostPaused);
         }
     }
 
@@ -144,12 +164,13 @@
     void learn(int publishedIndex) {
         whenAwake(life, () -> {
             epochs.adopt(simulator.published().get(publishedIndex), clock());
+            simulator.trace(id, "learns", epochs.current().epoch());
             viewChanged();
         });
     }
 
     private void viewChanged() {
-        voter.observe(epochs.view(), clock());
+        voter.observe(voterView(), clock());
         for (SimCall call : new ArrayList<>(coordinators.keySet())) {
             perform(call, coordinators.get(call).timer(epochs.view(), clock()));
         }
@@ -158,11 +179,13 @@
     /** Takes a request. One that reached the socket during a pause counts as arrived when the pause began. */
     void receive(SimCall call) {
         boolean waited = isPaused();
+        simulator.trace(id, "gets", call.key(), "issued", call.keyIssuedAtMillis());
         if (waited) {
             call.hostPaused();
         }
         long arrivedAt = waited ? BASE_MILLIS + pauseStartMillis + clockOffsetMillis : clock();
         int thisLife = life;
+        open.add(call);
         call.reached(id, () -> life == thisLife && up);
         whenAwake(thisLife, () -> {
             ClaimCall claimCall = new ClaimCall(
@@ -182,10 +205,10 @@
 
     private void handle(HostId from, PeerMessage message) {
         if (message instanceof ClaimRequest request) {
-            reply(from, simulator.altered(voter.onRequest(request, epochs.view(), clock())));
+            reply(from, simulator.altered(voter.onRequest(request, voterView(), clock())));
         } else if (message instanceof ClaimAbort abort) {
             ClaimAbort altered = simulator.altered(abort);
-            Optional<ClaimAbortReply> reply = voter.onAbort(altered, epochs.view(), clock());
+            Optional<ClaimAbortReply> reply = voter.onAbort(altered, voterView(), clock());
             reply.ifPresent(r -> reply(from, simulator.altered(r, abort.barrierMillis())));
         } else if (message instanceof ClaimOutcome outcome) {
             voter.onOutcome(outcome, clock());
@@ -215,11 +238,14 @@
     private void perform(SimCall call, List<ClaimAction> actions) {
         int thisLife = life;
         for (ClaimAction action : actions) {
+            if (!(action instanceof ClaimAction.Send)) {
+                simulator.trace(id, call.key(), action);
+            }
             if (action instanceof ClaimAction.Send send) {
                 simulator.send(id, send.to(), send.message());
             } else if (action instanceof ClaimAction.WaitUntil wait) {
-                long delay = wait.atMillis() - clock();
-                later(call, thisLife, delay, c -> c.timer(epochs.view(), clock()));
+                wakeAtMillis.put(call, wait.atMillis());
+                later(call, thisLife, wait.atMillis() - clock(), c -> wakeUp(call, c, wait.atMillis()));
             } else if (action instanceof ClaimAction.Dispatch dispatch) {
                 call.granted(simulator.time().nowMillis());
                 later(call, thisLife, simulator.chargeMillis(), this.dispatchOf(call, dispatch));
@@ -232,7 +258,7 @@
                                     call.refused(refuse.at(clock()));
                                 }));
             } else if (action instanceof ClaimAction.Relay relay) {
-                simulator.time().after(random.nextInt(2), () -> whenAwake(thisLife, () -> call.answered(relay)));
+                write(call, () -> call.answered(relay));
             }
         }
         ClaimCoordinator coordinator = coordinators.get(call);
@@ -241,6 +267,23 @@
         }
     }
 
+    private void write(SimCall call, Runnable answer) {
+        int thisLife = life;
+        simulator
+                .time()
+                .after(
+                        random.nextInt(2),
+                        () -> whenAwake(thisLife, () -> {
+                            open.remove(call);
+                            answer.run();
+                        }));
+    }
+
+    /** Skips a timer that a later one replaced. */
+    private List<ClaimAction> wakeUp(SimCall call, ClaimCoordinator coordinator, long atMillis) {
+        return wakeAtMillis.get(call) == atMillis ? coordinator.timer(epochs.view(), clock()) : List.of();
+    }
+
     private interface Step {
         List<ClaimAction> on(ClaimCoordinator coordinator);
     }
--- a/guavathread-bench/src/test/java/org/guavathread/bench/claims/ClaimScheduleProperties.java
+++ b/guavathread-bench/src/test/java/org/guavathread/bench/claims/ClaimScheduleProperties.java
@@ -1,5 +1,9 @@
 package org.guavathread.bench.claims;
 
+import java.util.function.ToLongFunction;
+import java.util.stream.LongStream;
+
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Tag;
@@ -35,4 +39,18 @@
                 ScheduleSimulator.withoutFaults(ClaimDesign.CHOSEN, seed, false).run();
         assertEquals(result.firstTries(), result.firstTriesAnswered());
     }
+
+    /** A simulator that finds nothing wrong with a design that leaves out a rule would prove nothing. */
+    @Example
+    void schedulesTellDesignsWithoutARuleApart() {
+        assertTrue(count(ClaimDesign.ONE_HOME_NO_ABSTENTION, r -> r.doubleRuns().size()) > 0, "double runs");
+        assertTrue(count(ClaimDesign.NO_BARRIER, r -> r.falseNotRun().size()) > 0, "false not_run");
+    }
+
+    private static long count(ClaimDesign design, ToLongFunction<ScheduleResult> faults) {
+        return LongStream.range(0, 150)
+                .map(seed -> faults.applyAsLong(
+                        ScheduleSimulator.withRandomFaults(design, seed).run()))
+                .sum();
+    }
 }
--- a/guavathread-core/src/main/java/org/guavathread/core/claim/ClaimCall.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/claim/ClaimCall.java
@@ -9,4 +9,20 @@
  * @param keyIssuedAtMillis when the key was issued, or {@link IssueTimes#UNKNOWN}
  * @param answerDeadlineMillis until when the caller waits for an answer, in milliseconds since the epoch
  */
-public record ClaimCall(ClaimKey key, long arrivedAtMillis, long keyIssuedAtMillis, long answerDeadlineMillis) {}
+public record ClaimCall(ClaimKey key, long arrivedAtMillis, long keyIssuedAtMillis, long answerDeadlineMillis) {
+
+    long dispatchLimitMillis(ClaimSettings settings) {
+        return arrivedAtMillis + settings.dispatchMillis();
+    }
+
+    long dispatchDeadlineMillis(ClaimSettings settings) {
+        return Math.min(dispatchLimitMillis(settings), answerDeadlineMillis);
+    }
+
+    /** Leaves time to confirm an abort before the caller stops waiting. */
+    long claimDeadlineMillis(ClaimSettings settings) {
+        long patience = answerDeadlineMillis - arrivedAtMillis;
+        long confirmFrom = answerDeadlineMillis - Math.min(settings.confirmMillis(), patience / 2);
+        return Math.min(dispatchDeadlineMillis(settings), confirmFrom);
+    }
+}
--- a/guavathread-core/src/main/java/org/guavathread/core/claim/ClaimCoordinator.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/claim/ClaimCoordinator.java
@@ -13,7 +13,6 @@
 import org.guavathread.core.membership.EpochView;
 import org.guavathread.core.message.PeerMessage;
 import org.guavathread.core.request.Refusal;
-import org.guavathread.core.request.RefusalCode;
 
 /**
  * Runs one request with an idempotency key at most once, whatever other hosts do with the same key. Every call returns
@@ -29,44 +28,23 @@
  */
 public final class ClaimCoordinator {
 
-    private static final int FIRST_BACK_OFF_MILLIS = 20;
-    private static final int MAX_BACK_OFF_DOUBLINGS = 4;
-    /** Leaves the releases of the round before the time to arrive. */
-    private static final int MIN_BACK_OFF_MILLIS = 5;
-
-    private enum Phase {
-        CLAIMING,
-        BACKING_OFF,
-        GRANTED,
-        DISPATCHED,
-        ABORTING,
-        FOLLOWING,
-        ENDED
-    }
-
     private final ClaimCall call;
     private final AttemptIds ids;
     private final AttemptLog log;
     private final ClaimSettings settings;
-    private final RandomGenerator random;
+    private final BackOff backOff;
     private final Set<AttemptId> ownAborted = new HashSet<>();
-    private final Set<HostId> lettingGo = new HashSet<>();
-    private final Set<HostId> withoutOutcome = new HashSet<>();
 
-    private Phase phase = Phase.CLAIMING;
-    private AttemptId attempt;
-    private HostEpoch epoch;
+    private ClaimPhase phase = ClaimPhase.CLAIMING;
+    private ClaimRound round;
     private ClaimTally tally;
-    private int round;
     private boolean resent;
     private long retryAtMillis;
     private long resendAtMillis;
     private long barrierMillis;
     private long confirmDeadlineMillis;
     private Refusal abortReason;
-    private AttemptId followed;
-    private boolean holderRuns;
-    private boolean holderForgot;
+    private HolderWatch watch;
     private boolean callerAnswered;
     private List<ClaimAction> out = new ArrayList<>();
 
@@ -85,7 +63,7 @@
         this.ids = ids;
         this.log = log;
         this.settings = settings;
-        this.random = random;
+        this.backOff = new BackOff(random);
     }
 
     /**
@@ -96,17 +74,8 @@
      * @return the actions to take
      */
     public List<ClaimAction> start(EpochView view, long nowMillis) {
-        long issuedAt = call.keyIssuedAtMillis();
-        if (issuedAt != IssueTimes.UNKNOWN && issuedAt > nowMillis + settings.issueLeadMillis()) {
-            refuse(Refusal.unknown(
-                    RefusalCode.BAD_REQUEST,
-                    "The idempotency key was issued in the future, at " + issuedAt
-                            + " ms; set the clock of the caller."));
-        } else if (issuedAt != IssueTimes.UNKNOWN && issuedAt + settings.retentionMillis() <= nowMillis) {
-            refuse(expired());
-        } else {
-            claim(view, nowMillis);
-        }
+        Optional<Refusal> refusal = ClaimRefusals.ofIssueTime(call.keyIssuedAtMillis(), settings, nowMillis);
+        refusal.ifPresentOrElse(this::refuse, () -> claim(view, nowMillis));
         return taken(nowMillis);
     }
 
@@ -120,12 +89,12 @@
      * @return the actions to take
      */
     public List<ClaimAction> reply(HostId from, PeerMessage message, EpochView view, long nowMillis) {
-        if (phase == Phase.ENDED) {
+        if (phase == ClaimPhase.ENDED) {
             return List.of();
         }
         adopt(view, nowMillis);
         if (message instanceof ClaimReply reply) {
-            onClaimReply(from, reply, view, nowMillis);
+            onClaimReply(from, reply, nowMillis);
         } else if (message instanceof ClaimAbortReply reply) {
             onAbortReply(from, reply, nowMillis);
         } else if (message instanceof OutcomeReply reply) {
@@ -146,24 +115,13 @@
         switch (phase) {
             case CLAIMING -> onClaimTimer(nowMillis);
             case BACKING_OFF -> {
-                if (nowMillis >= claimDeadlineMillis()) {
-                    abort(unavailable(), nowMillis);
+                if (nowMillis >= call.claimDeadlineMillis(settings)) {
+                    abort(ClaimRefusals.unavailable(), nowMillis);
                 } else if (nowMillis >= retryAtMillis) {
                     claim(view, nowMillis);
                 }
             }
-            case GRANTED -> {
-                if (nowMillis > dispatchDeadlineMillis()) {
-                    abort(
-                            Refusal.notRun(RefusalCode.DEADLINE, "The request waited too long; send it again."),
-                            nowMillis);
-                }
-            }
-            case DISPATCHED -> {
-                if (nowMillis >= call.answerDeadlineMillis()) {
-                    refuse(outcomeUnknown("The backend server has not answered in time"));
-                }
-            }
+            case GRANTED, DISPATCHED -> onDispatchTimer(nowMillis);
             case ABORTING -> onAbortTimer(nowMillis);
             case FOLLOWING -> onFollowTimer(nowMillis);
             default -> {}
@@ -180,9 +138,9 @@
      * @return true if the request may be sent now
      */
     public boolean mayDispatch(EpochView view, long nowMillis) {
-        return phase == Phase.GRANTED
-                && nowMillis <= dispatchDeadlineMillis()
-                && !view.current().epoch().isNewerThan(epoch)
+        return phase == ClaimPhase.GRANTED
+                && nowMillis <= call.dispatchDeadlineMillis(settings)
+                && !view.current().epoch().isNewerThan(round.epoch())
                 && tally.reached(ClaimVote.GRANTED);
     }
 
@@ -194,9 +152,9 @@
      * @return the actions to take
      */
     public List<ClaimAction> dispatched(long nowMillis) {
-        require(Phase.GRANTED);
-        phase = Phase.DISPATCHED;
-        log.record(attempt, AttemptState.DISPATCHED, nowMillis);
+        require(ClaimPhase.GRANTED);
+        phase = ClaimPhase.DISPATCHED;
+        log.record(round.attempt(), AttemptState.DISPATCHED, nowMillis);
         return taken(nowMillis);
     }
 
@@ -208,9 +166,10 @@
      * @return the actions to take
      */
     public List<ClaimAction> withdraw(Refusal refusal, long nowMillis) {
-        if (phase != Phase.ENDED && phase != Phase.ABORTING) {
-            if (phase == Phase.DISPATCHED) {
-                throw new IllegalStateException("Attempt " + attempt + " was dispatched; report its end instead.");
+        if (phase != ClaimPhase.ENDED && phase != ClaimPhase.ABORTING) {
+            if (phase == ClaimPhase.DISPATCHED) {
+                throw new IllegalStateException(
+                        "Attempt " + round.attempt() + " was dispatched; report its end instead.");
             }
             abort(refusal, nowMillis);
         }
@@ -227,7 +186,7 @@
      */
     public List<ClaimAction> answered(int httpStatus, byte[] answer, long nowMillis) {
         ClaimOutcome whole =
-                new ClaimOutcome(call.key(), attempt, ClaimOutcome.Status.ANSWERED, httpStatus, answer.clone());
+                new ClaimOutcome(call.key(), round.attempt(), ClaimOutcome.Status.ANSWERED, httpStatus, answer.clone());
         end(whole, new ClaimAction.Relay(whole), nowMillis);
         return taken(nowMillis);
     }
@@ -241,7 +200,8 @@
      */
     public List<ClaimAction> failed(Refusal refusal, long nowMillis) {
         Refusal unknown = Refusal.unknown(refusal.code(), refusal.message());
-        ClaimOutcome failure = new ClaimOutcome(call.key(), attempt, ClaimOutcome.Status.FAILED, 0, new byte[0]);
+        ClaimOutcome failure =
+                new ClaimOutcome(call.key(), round.attempt(), ClaimOutcome.Status.FAILED, 0, new byte[0]);
         end(failure, new ClaimAction.Refuse(unknown, Long.MAX_VALUE), nowMillis);
         return taken(nowMillis);
     }
@@ -252,28 +212,27 @@
      * @return true once the caller was answered and no dispatched request is open
      */
     public boolean isEnded() {
-        return phase == Phase.ENDED;
+        return phase == ClaimPhase.ENDED;
     }
 
     private void end(ClaimOutcome outcome, ClaimAction answer, long nowMillis) {
-        require(Phase.DISPATCHED);
+        require(ClaimPhase.DISPATCHED);
         log.ended(outcome, nowMillis);
         boolean kept = outcome.answer().length <= ClaimSettings.MAX_KEPT_ANSWER_BYTES;
         sendToAll(kept ? outcome : outcome.withoutAnswer());
         finish(answer);
-        phase = Phase.ENDED;
+        phase = ClaimPhase.ENDED;
     }
 
     private void claim(EpochView view, long nowMillis) {
-        round++;
-        attempt = ids.next();
+        phase = ClaimPhase.CLAIMING;
+        AttemptId attempt = ids.next();
         log.record(attempt, AttemptState.CLAIMING, nowMillis);
-        phase = Phase.CLAIMING;
-        ask(view, nowMillis);
+        ask(attempt, view, nowMillis);
     }
 
-    private void ask(EpochView view, long nowMillis) {
-        epoch = view.current().epoch();
+    private void ask(AttemptId attempt, EpochView view, long nowMillis) {
+        round = new ClaimRound(call, attempt, view.current().epoch());
         tally = new ClaimTally(EpochVoters.counting(call.key(), view, settings, nowMillis));
         resent = false;
         resendAtMillis = nowMillis + settings.resendMillis();
@@ -281,24 +240,20 @@
     }
 
     private PeerMessage question() {
-        return phase == Phase.ABORTING
-                ? new ClaimAbort(call.key(), attempt, epoch, call.keyIssuedAtMillis(), barrierMillis)
-                : new ClaimRequest(call.key(), attempt, epoch, call.arrivedAtMillis(), call.keyIssuedAtMillis());
+        return phase == ClaimPhase.ABORTING ? round.abort(barrierMillis) : round.request();
     }
 
     /** Votes of an older epoch do not count under a newer one: every voter is asked again. */
     private void adopt(EpochView view, long nowMillis) {
-        boolean counts = phase == Phase.CLAIMING || phase == Phase.GRANTED || phase == Phase.ABORTING;
-        if (counts && view.current().epoch().isNewerThan(epoch)) {
-            phase = phase == Phase.GRANTED ? Phase.CLAIMING : phase;
-            ask(view, nowMillis);
+        boolean counts = phase == ClaimPhase.CLAIMING || phase == ClaimPhase.GRANTED || phase == ClaimPhase.ABORTING;
+        if (counts && view.current().epoch().isNewerThan(round.epoch())) {
+            phase = phase == ClaimPhase.GRANTED ? ClaimPhase.CLAIMING : phase;
+            ask(round.attempt(), view, nowMillis);
         }
     }
 
-    private void onClaimReply(HostId from, ClaimReply reply, EpochView view, long nowMillis) {
-        if (phase != Phase.CLAIMING
-                || !reply.attempt().equals(attempt)
-                || !reply.asked().equals(epoch)) {
+    private void onClaimReply(HostId from, ClaimReply reply, long nowMillis) {
+        if (phase != ClaimPhase.CLAIMING || !round.isAnsweredBy(reply)) {
             return;
         }
         if (reply.outcome().isPresent()) {
@@ -311,11 +266,11 @@
                 from, ownRelease ? ClaimVote.NOT_YET : reply.vote(), ownRelease ? Optional.empty() : reply.holder());
         learnEarlier(reply.epoch(), reply.earlier());
         if (tally.reached(ClaimVote.GRANTED)) {
-            phase = Phase.GRANTED;
-            out.add(new ClaimAction.Dispatch(attempt, dispatchDeadlineMillis()));
+            phase = ClaimPhase.GRANTED;
+            out.add(new ClaimAction.Dispatch(round.attempt(), call.dispatchDeadlineMillis(settings)));
         } else if (reply.vote() == ClaimVote.EXPIRED) {
             release(nowMillis);
-            refuse(expired());
+            refuse(ClaimRefusals.expired());
         } else if (tally.blocked(ClaimVote.GRANTED, v -> v == null || v.mayChange())) {
             giveWay(reply.barrierMillis(), nowMillis);
         }
@@ -323,7 +278,7 @@
 
     /** Adds the voters of epochs that this host does not know and a voter does. */
     private void learnEarlier(HostEpoch voterEpoch, List<EpochVoters> earlier) {
-        if (!voterEpoch.equals(epoch)) {
+        if (!voterEpoch.equals(round.epoch())) {
             return;
         }
         Set<HostId> before = tally.voters();
@@ -338,23 +293,22 @@
             release(nowMillis);
             follow(holder.get(), nowMillis);
         } else if (tally.has(ClaimVote.HELD)) {
+            release(nowMillis);
             backOff(nowMillis);
         } else {
             long wait = Math.max(0, otherBarrierMillis - nowMillis);
-            abort(unavailable().retryAfter(wait), nowMillis);
+            abort(ClaimRefusals.unavailable().retryAfter(wait), nowMillis);
         }
     }
 
     private void backOff(long nowMillis) {
-        release(nowMillis);
-        phase = Phase.BACKING_OFF;
-        int bound = FIRST_BACK_OFF_MILLIS << Math.min(round, MAX_BACK_OFF_DOUBLINGS);
-        retryAtMillis = nowMillis + MIN_BACK_OFF_MILLIS + random.nextInt(bound);
+        phase = ClaimPhase.BACKING_OFF;
+        retryAtMillis = nowMillis + backOff.nextMillis();
     }
 
     private void onClaimTimer(long nowMillis) {
-        if (nowMillis >= claimDeadlineMillis()) {
-            abort(unavailable(), nowMillis);
+        if (nowMillis >= call.claimDeadlineMillis(settings)) {
+            abort(ClaimRefusals.unavailable(), nowMillis);
         } else if (nowMillis >= resendAtMillis) {
             if (resent && tally.has(ClaimVote.HELD) && tally.blocked(ClaimVote.GRANTED, v -> false)) {
                 giveWay(0, nowMillis);
@@ -364,47 +318,56 @@
         }
     }
 
+    private void onDispatchTimer(long nowMillis) {
+        if (phase == ClaimPhase.GRANTED && nowMillis > call.dispatchDeadlineMillis(settings)) {
+            abort(ClaimRefusals.waitedTooLong(), nowMillis);
+        } else if (phase == ClaimPhase.DISPATCHED && nowMillis >= call.answerDeadlineMillis()) {
+            refuse(ClaimRefusals.noAnswerInTime());
+        }
+    }
+
     private void resend(long nowMillis) {
         resent = true;
         // A lost release would leave the key with an earlier attempt of this request.
-        ownAborted.stream().filter(a -> !a.equals(attempt)).forEach(a -> sendRelease(tally.open(), a));
+        ownAborted.stream().filter(a -> !a.equals(round.attempt())).forEach(a -> sendRelease(tally.open(), a));
         resendAtMillis = nowMillis + settings.resendMillis();
         tally.open().forEach(v -> send(v, question()));
     }
 
     /** Frees the key of the current attempt, which this host will not dispatch from now on. */
     private void release(long nowMillis) {
-        log.record(attempt, AttemptState.ABORTED, nowMillis);
-        ownAborted.add(attempt);
-        sendRelease(tally.voters(), attempt);
+        log.record(round.attempt(), AttemptState.ABORTED, nowMillis);
+        ownAborted.add(round.attempt());
+        sendRelease(tally.voters(), round.attempt());
     }
 
     private void sendRelease(Iterable<HostId> voters, AttemptId of) {
-        voters.forEach(
-                v -> send(v, new ClaimAbort(call.key(), of, epoch, call.keyIssuedAtMillis(), ClaimAbort.RELEASE_ONLY)));
+        voters.forEach(v -> send(v, round.release(of)));
     }
 
     /**
      * Asks the voters to confirm that nothing has run and that nothing which has arrived by the barrier will run. The
-     * barrier lies one clock difference after the last moment at which {@code not_run} is told.
+     * barrier lies one clock difference after the last moment at which {@code not_run} is told. That moment is bounded
+     * by the arrival, because voters forget claims: a coordinator that was paused could otherwise get confirmations
+     * from voters that no longer remember that the request has run.
      */
     private void abort(Refusal reason, long nowMillis) {
-        log.record(attempt, AttemptState.ABORTED, nowMillis);
-        ownAborted.add(attempt);
-        phase = Phase.ABORTING;
+        log.record(round.attempt(), AttemptState.ABORTED, nowMillis);
+        ownAborted.add(round.attempt());
+        phase = ClaimPhase.ABORTING;
         abortReason = reason;
-        confirmDeadlineMillis = nowMillis + settings.confirmMillis();
+        confirmDeadlineMillis = Math.min(nowMillis, call.dispatchLimitMillis(settings)) + settings.confirmMillis();
         barrierMillis = confirmDeadlineMillis + settings.clockSkewMillis();
         tally = new ClaimTally(tally.groups());
         resendAtMillis = nowMillis + settings.resendMillis();
         sendToAll(question());
+        if (nowMillis > confirmDeadlineMillis) {
+            refuse(ClaimRefusals.unconfirmed(abortReason));
+        }
     }
 
     private void onAbortReply(HostId from, ClaimAbortReply reply, long nowMillis) {
-        if (phase != Phase.ABORTING
-                || !reply.attempt().equals(attempt)
-                || !reply.asked().equals(epoch)
-                || reply.barrierMillis() != barrierMillis) {
+        if (phase != ClaimPhase.ABORTING || !round.isAnsweredBy(reply, barrierMillis)) {
             return;
         }
         if (reply.outcome().isPresent()) {
@@ -418,90 +381,58 @@
             // A resend is refused by the voters until every clock has passed the barrier.
             long opensAt = barrierMillis + settings.clockSkewMillis();
             long wait = Math.max(abortReason.retryAfterMillis(), opensAt - nowMillis);
-            Refusal told = Refusal.notRun(abortReason.code(), abortReason.message());
-            finish(new ClaimAction.Refuse(told.retryAfter(wait), confirmDeadlineMillis));
+            finish(new ClaimAction.Refuse(ClaimRefusals.confirmed(abortReason, wait), confirmDeadlineMillis));
         } else if (!inTime
                 || tally.blocked(ClaimVote.CONFIRMED, v -> v == null || v.mayChange() || v == ClaimVote.HELD)) {
-            refuseUnconfirmed();
+            refuse(ClaimRefusals.unconfirmed(abortReason));
         }
     }
 
     private void onAbortTimer(long nowMillis) {
         if (nowMillis > confirmDeadlineMillis) {
-            refuseUnconfirmed();
+            refuse(ClaimRefusals.unconfirmed(abortReason));
         } else if (nowMillis >= resendAtMillis) {
             resend(nowMillis);
         }
     }
 
-    private void refuseUnconfirmed() {
-        refuse(Refusal.unknown(abortReason.code(), abortReason.message()).retryAfter(abortReason.retryAfterMillis()));
-    }
-
     private void follow(AttemptId holder, long nowMillis) {
-        phase = Phase.FOLLOWING;
-        followed = holder;
-        holderRuns = false;
-        holderForgot = false;
-        lettingGo.clear();
-        withoutOutcome.clear();
+        phase = ClaimPhase.FOLLOWING;
+        watch = new HolderWatch(holder);
         query(nowMillis);
     }
 
     private void query(long nowMillis) {
         resendAtMillis = nowMillis + settings.resendMillis();
-        send(followed.host(), new OutcomeQuery(call.key(), followed, true));
-        sendToAll(new OutcomeQuery(call.key(), followed, false));
+        send(watch.host(), new OutcomeQuery(call.key(), watch.holder(), true));
+        sendToAll(new OutcomeQuery(call.key(), watch.holder(), false));
     }
 
     private void onOutcomeReply(HostId from, OutcomeReply reply, long nowMillis) {
-        if (phase != Phase.FOLLOWING || !reply.attempt().equals(followed)) {
+        if (phase != ClaimPhase.FOLLOWING || !reply.attempt().equals(watch.holder())) {
             return;
         }
         if (reply.outcome().isPresent()) {
             deliver(reply.outcome().get());
-        } else if (reply.fromHolder()) {
-            onHolderReply(reply.state(), nowMillis);
-        } else if (reply.state() == AttemptState.ABORTED || reply.state() == AttemptState.NOT_KNOWN) {
-            lettingGo.add(from);
-            if (tally.isMajority(lettingGo)) {
-                backOffAfterFollowing(nowMillis);
-            }
-        } else {
-            withoutOutcome.add(from);
-        }
-        if (phase == Phase.FOLLOWING && holderForgot && tally.isMajority(withoutOutcome)) {
-            refuse(outcomeUnknown("Host " + followed.host() + " took this request before and has lost its state"));
+            return;
         }
-    }
-
-    private void onHolderReply(AttemptState state, long nowMillis) {
-        holderRuns = state == AttemptState.DISPATCHED || state == AttemptState.CLAIMING;
-        holderForgot = state == AttemptState.NOT_KNOWN;
-        if (state == AttemptState.ABORTED) {
-            // The message by which the holder freed the key was lost.
-            sendRelease(tally.voters(), followed);
-            backOffAfterFollowing(nowMillis);
-        } else if (state == AttemptState.ENDED) {
-            refuse(outcomeUnknown("The answer to this request is not kept any more"));
+        watch.record(from, reply);
+        if (watch.isAborted() || watch.isFreed(tally)) {
+            // The message by which the holder freed the key may have been lost at some voters.
+            if (watch.isAborted()) {
+                sendRelease(tally.voters(), watch.holder());
+            }
+            backOff(nowMillis);
+        } else if (watch.isEnded()) {
+            refuse(ClaimRefusals.answerNotKept());
+        } else if (watch.isLost(tally)) {
+            refuse(ClaimRefusals.holderForgot(watch.host()));
         }
     }
 
-    private void backOffAfterFollowing(long nowMillis) {
-        phase = Phase.BACKING_OFF;
-        retryAtMillis = nowMillis + MIN_BACK_OFF_MILLIS + random.nextInt(FIRST_BACK_OFF_MILLIS);
-    }
-
     private void onFollowTimer(long nowMillis) {
         if (nowMillis >= call.answerDeadlineMillis()) {
-            refuse(
-                    holderRuns
-                            ? Refusal.unknown(
-                                    RefusalCode.CLAIM_HELD,
-                                    "Host " + followed.host()
-                                            + " still runs this request; send it again for its answer.")
-                            : outcomeUnknown(
-                                    "Host " + followed.host() + " took this request before and does not answer"));
+            refuse(watch.isRunning() ? ClaimRefusals.held(watch.host()) : ClaimRefusals.holderSilent(watch.host()));
         } else if (nowMillis >= resendAtMillis) {
             query(nowMillis);
         }
@@ -511,7 +442,7 @@
         if (outcome.status() == ClaimOutcome.Status.ANSWERED) {
             finish(new ClaimAction.Relay(outcome));
         } else {
-            refuse(outcomeUnknown("The request was run before and its answer is not available"));
+            refuse(ClaimRefusals.answerNotKept());
         }
     }
 
@@ -524,8 +455,8 @@
             callerAnswered = true;
             out.add(answer);
         }
-        if (phase != Phase.DISPATCHED) {
-            phase = Phase.ENDED;
+        if (phase != ClaimPhase.DISPATCHED) {
+            phase = ClaimPhase.ENDED;
         }
     }
 
@@ -549,9 +480,9 @@
 
     private long wakeAtMillis() {
         return switch (phase) {
-            case CLAIMING -> Math.min(resendAtMillis, claimDeadlineMillis());
-            case BACKING_OFF -> Math.min(retryAtMillis, claimDeadlineMillis());
-            case GRANTED -> dispatchDeadlineMillis() + 1;
+            case CLAIMING -> Math.min(resendAtMillis, call.claimDeadlineMillis(settings));
+            case BACKING_OFF -> Math.min(retryAtMillis, call.claimDeadlineMillis(settings));
+            case GRANTED -> call.dispatchDeadlineMillis(settings) + 1;
             case DISPATCHED -> callerAnswered ? Long.MAX_VALUE : call.answerDeadlineMillis();
             case ABORTING -> Math.min(resendAtMillis, confirmDeadlineMillis + 1);
             case FOLLOWING -> Math.min(resendAtMillis, call.answerDeadlineMillis());
@@ -559,36 +490,10 @@
         };
     }
 
-    private long dispatchDeadlineMillis() {
-        return Math.min(call.arrivedAtMillis() + settings.dispatchMillis(), call.answerDeadlineMillis());
-    }
-
-    /** Leaves time to confirm an abort before the caller stops waiting. */
-    private long claimDeadlineMillis() {
-        long patience = call.answerDeadlineMillis() - call.arrivedAtMillis();
-        return Math.min(
-                dispatchDeadlineMillis(),
-                call.answerDeadlineMillis() - Math.min(settings.confirmMillis(), patience / 2));
-    }
-
-    private void require(Phase expected) {
+    private void require(ClaimPhase expected) {
         if (phase != expected) {
-            throw new IllegalStateException(
-                    "Attempt " + attempt + " is " + phase + ", not " + expected + "; call mayDispatch before sending.");
+            throw new IllegalStateException("Attempt " + round.attempt() + " is " + phase + ", not " + expected
+                    + "; call mayDispatch before sending.");
         }
     }
-
-    private static Refusal unavailable() {
-        return Refusal.unknown(
-                RefusalCode.CLAIMS_UNAVAILABLE, "Too few hosts could vote on this request; send it again.");
-    }
-
-    private static Refusal expired() {
-        return Refusal.unknown(
-                RefusalCode.KEY_EXPIRED, "The idempotency key is older than claims are kept; use a new key.");
-    }
-
-    private static Refusal outcomeUnknown(String why) {
-        return Refusal.unknown(RefusalCode.OUTCOME_UNKNOWN, why + "; check whether it ran before you send a new one.");
-    }
 }
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/claim/ClaimRefusals.java
@@ -0,0 +1,74 @@
+package org.guavathread.core.claim;
+
+import java.util.Optional;
+
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.request.Refusal;
+import org.guavathread.core.request.RefusalCode;
+
+/** The refusals of a coordinator; all say {@code unknown} until voters have confirmed an abort. */
+final class ClaimRefusals {
+
+    private ClaimRefusals() {}
+
+    static Refusal unavailable() {
+        return Refusal.unknown(
+                RefusalCode.CLAIMS_UNAVAILABLE, "Too few hosts could vote on this request; send it again.");
+    }
+
+    static Refusal waitedTooLong() {
+        return Refusal.unknown(RefusalCode.DEADLINE, "The request waited too long; send it again.");
+    }
+
+    static Refusal expired() {
+        return Refusal.unknown(
+                RefusalCode.KEY_EXPIRED, "The idempotency key is older than claims are kept; use a new key.");
+    }
+
+    /** Refuses a key that is too old, or that lies so far in the future that its time of issue proves nothing. */
+    static Optional<Refusal> ofIssueTime(long issuedAtMillis, ClaimSettings settings, long nowMillis) {
+        if (issuedAtMillis == IssueTimes.UNKNOWN) {
+            return Optional.empty();
+        }
+        if (issuedAtMillis > nowMillis + settings.issueLeadMillis()) {
+            return Optional.of(Refusal.unknown(
+                    RefusalCode.BAD_REQUEST,
+                    "The idempotency key was issued in the future, at " + issuedAtMillis
+                            + " ms; set the clock of the caller."));
+        }
+        return issuedAtMillis + settings.retentionMillis() <= nowMillis ? Optional.of(expired()) : Optional.empty();
+    }
+
+    static Refusal confirmed(Refusal reason, long retryAfterMillis) {
+        return Refusal.notRun(reason.code(), reason.message()).retryAfter(retryAfterMillis);
+    }
+
+    static Refusal unconfirmed(Refusal reason) {
+        return Refusal.unknown(reason.code(), reason.message()).retryAfter(reason.retryAfterMillis());
+    }
+
+    static Refusal held(HostId holder) {
+        return Refusal.unknown(
+                RefusalCode.CLAIM_HELD, "Host " + holder + " still runs this request; send it again for its answer.");
+    }
+
+    static Refusal holderForgot(HostId holder) {
+        return outcomeUnknown("Host " + holder + " took this request before and has lost its state");
+    }
+
+    static Refusal holderSilent(HostId holder) {
+        return outcomeUnknown("Host " + holder + " took this request before and does not answer");
+    }
+
+    static Refusal answerNotKept() {
+        return outcomeUnknown("The request was run before and its answer is not available");
+    }
+
+    static Refusal noAnswerInTime() {
+        return outcomeUnknown("The backend server has not answered in time");
+    }
+
+    private static Refusal outcomeUnknown(String why) {
+        return Refusal.unknown(RefusalCode.OUTCOME_UNKNOWN, why + "; check whether it ran before you send a new one.");
+    }
+}
--- a/guavathread-core/src/main/java/org/guavathread/core/claim/ClaimSettings.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/claim/ClaimSettings.java
@@ -83,13 +83,14 @@
     }
 
     /**
-     * Gives how long voters and epochs are remembered. A claim may be made up to the dispatch time after the arrival
-     * of a resend, and its key may carry a time of issue ahead of the clock; both are added to the retention.
+     * Gives how long claims and epochs are remembered. A resend that arrives at the end of the retention may claim the
+     * key until its dispatch deadline and abort until the abort is confirmed, and clocks differ; all this is added to
+     * the retention.
      *
      * @return milliseconds
      */
     public long memoryMillis() {
-        return retentionMillis + dispatchMillis + Math.max(issueLeadMillis, clockSkewMillis);
+        return retentionMillis + dispatchMillis + confirmMillis + Math.max(issueLeadMillis, clockSkewMillis);
     }
 
     /**
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/claim/HolderWatch.java
@@ -0,0 +1,60 @@
+package org.guavathread.core.claim;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import org.guavathread.core.id.AttemptId;
+import org.guavathread.core.id.HostId;
+
+/** What a coordinator has heard about another attempt that holds its key. */
+final class HolderWatch {
+
+    private final AttemptId holder;
+    private final Set<HostId> votersWithoutHolder = new HashSet<>();
+    private final Set<HostId> votersWithoutOutcome = new HashSet<>();
+    private AttemptState holderState;
+
+    HolderWatch(AttemptId holder) {
+        this.holder = holder;
+    }
+
+    AttemptId holder() {
+        return holder;
+    }
+
+    HostId host() {
+        return holder.host();
+    }
+
+    void record(HostId from, OutcomeReply reply) {
+        if (reply.fromHolder()) {
+            holderState = reply.state();
+        } else if (reply.state() == AttemptState.ABORTED || reply.state() == AttemptState.NOT_KNOWN) {
+            votersWithoutHolder.add(from);
+        } else {
+            votersWithoutOutcome.add(from);
+        }
+    }
+
+    boolean isAborted() {
+        return holderState == AttemptState.ABORTED;
+    }
+
+    /** Tells whether the holder ended without an answer that could be relayed. */
+    boolean isEnded() {
+        return holderState == AttemptState.ENDED;
+    }
+
+    boolean isRunning() {
+        return holderState == AttemptState.DISPATCHED || holderState == AttemptState.CLAIMING;
+    }
+
+    boolean isFreed(ClaimTally tally) {
+        return tally.isMajority(votersWithoutHolder);
+    }
+
+    /** Tells whether the coordinator of the holder lost its state and no voter can have the outcome later. */
+    boolean isLost(ClaimTally tally) {
+        return holderState == AttemptState.NOT_KNOWN && tally.isMajority(votersWithoutOutcome);
+    }
+}
