Serve other workspaces while a request waits for room on one engine

Cause: a request that needs more pieces than any engine has free stopped the whole queue, although other engines had room for smaller ones.

Change: the waiting request keeps the roomiest engine for itself, and the next requests of other workspaces may use the remaining engines. The expiry of reservations moves to a class of its own. All properties see more cancellations in flight than before.

--- a/guavathread-core/src/main/java/org/guavathread/core/placement/EnginePool.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/EnginePool.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.sheet.BackendKind;
@@ -89,10 +90,31 @@
         return prefill + transferMillis(promptTokens, rate);
     }
 
-    /** Chooses the decode engine first, then the prefill engine; returns null if either has to wait. */
-    Choice choose(FairQueue.Item item, long nowMillis) {
-        DecodeLedger decode = roomiest(item.pieces(), nowMillis);
-        return decode == null ? null : withPrefill(decode, item.request(), nowMillis);
+    /**
+     * Chooses the decode engine first, then the prefill engine; returns null if either has to wait. A request that waits
+     * for memory keeps the engine with the most room for itself, so that smaller requests cannot take it piece by piece.
+     */
+    Choice choose(FairQueue.Item item, Set<DecodeLedger> kept, long nowMillis) {
+        DecodeLedger decode = roomiest(item.pieces(), kept, nowMillis);
+        if (decode != null) {
+            return withPrefill(decode, item.request(), nowMillis);
+        }
+        DecodeLedger toKeep = roomiest(Integer.MIN_VALUE, kept, nowMillis);
+        if (toKeep != null) {
+            kept.add(toKeep);
+        }
+        return null;
+    }
+
+    /** Tells whether any prefill engine can take work now. */
+    boolean prefillFree(long nowMillis) {
+        return prefills.values().stream().anyMatch(p -> takesWork(p, nowMillis));
+    }
+
+    private boolean takesWork(PrefillBoard board, long nowMillis) {
+        return board.freeAtMillis(nowMillis) - nowMillis <= settings.prefillLookaheadMillis()
+                && !board.isStalled(nowMillis)
+                && board.usable(nowMillis, settings.reportStaleMillis());
     }
 
     /** Gives the next time at which a prefill engine can take work without a further event, or {@code Long.MAX_VALUE}. */
@@ -114,10 +136,12 @@
         return (int) Math.max(1, request.promptTokens() - cached);
     }
 
-    private DecodeLedger roomiest(int pieces, long nowMillis) {
+    private DecodeLedger roomiest(int pieces, Set<DecodeLedger> kept, long nowMillis) {
         DecodeLedger best = null;
         for (DecodeLedger ledger : decodes.values()) {
-            if (ledger.freePieces() < pieces || !ledger.usable(nowMillis, settings.reportStaleMillis())) {
+            if (kept.contains(ledger)
+                    || ledger.freePieces() < pieces
+                    || !ledger.usable(nowMillis, settings.reportStaleMillis())) {
                 continue;
             }
             if (best == null || freeShare(ledger) > freeShare(best)) {
@@ -135,12 +159,10 @@
         Choice best = null;
         long bestCost = Long.MAX_VALUE;
         for (PrefillBoard board : prefills.values()) {
-            long freeAt = board.freeAtMillis(nowMillis);
-            if (freeAt - nowMillis > settings.prefillLookaheadMillis()
-                    || board.isStalled(nowMillis)
-                    || !board.usable(nowMillis, settings.reportStaleMillis())) {
+            if (!takesWork(board, nowMillis)) {
                 continue;
             }
+            long freeAt = board.freeAtMillis(nowMillis);
             int uncached = uncachedTokens(board, request);
             long prefillEnd = freeAt + board.estimateMillis(uncached);
             long transferEnd = transferEnd(board, decode, request.promptTokens(), prefillEnd);
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/ExpiryQueue.java
@@ -0,0 +1,39 @@
+package org.guavathread.core.placement;
+
+import java.util.Comparator;
+import java.util.Map;
+import java.util.PriorityQueue;
+
+import org.guavathread.core.id.RequestId;
+
+/** Finds expired reservations. Each reservation has one entry; a renewal is noticed when its entry comes up. */
+final class ExpiryQueue {
+
+    private record Entry(long atMillis, RequestId request) {}
+
+    private final PriorityQueue<Entry> entries =
+            new PriorityQueue<>(Comparator.comparingLong(Entry::atMillis).thenComparing(Entry::request));
+
+    void add(Reservation reservation) {
+        entries.add(new Entry(reservation.deadlineMillis(), reservation.request()));
+    }
+
+    /** Gives the next time to call {@link #pollExpired}, or {@code Long.MAX_VALUE}. */
+    long nextAtMillis() {
+        return entries.isEmpty() ? Long.MAX_VALUE : entries.peek().atMillis();
+    }
+
+    /** Removes and returns a reservation that has expired, or returns null. */
+    Reservation pollExpired(Map<RequestId, Reservation> reservations, long nowMillis) {
+        while (nextAtMillis() <= nowMillis) {
+            Reservation reservation = reservations.get(entries.poll().request());
+            if (reservation != null && reservation.deadlineMillis() <= nowMillis) {
+                return reservation;
+            }
+            if (reservation != null) {
+                add(reservation);
+            }
+        }
+        return null;
+    }
+}
--- a/guavathread-core/src/main/java/org/guavathread/core/placement/FairQueue.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/FairQueue.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 
 import org.guavathread.core.id.HostId;
@@ -179,12 +180,17 @@
 
     /** Finds the request to serve next, or null if none waits. */
     Item peek(long nowMillis) {
+        return peek(nowMillis, Set.of());
+    }
+
+    /** Finds the request to serve next among the workspaces whose next request is not blocked, or null. */
+    Item peek(long nowMillis, Set<WorkspaceId> blocked) {
         flows.values().forEach(f -> demoteLate(f, nowMillis));
-        Item timely = timely();
+        Item timely = timely(blocked);
         if (timely != null && lateCredit < PERCENT) {
             return timely;
         }
-        Item late = late();
+        Item late = late(blocked);
         return late != null ? late : timely;
     }
 
@@ -253,12 +259,12 @@
         }
     }
 
-    private Item timely() {
+    private Item timely(Set<WorkspaceId> blocked) {
         double bound = leastTimelyTag() + settings.fairLeadTokens();
         Flow fast = null;
         Flow any = null;
         for (Flow flow : flows.values()) {
-            if (!flow.hasTimely()) {
+            if (!flow.hasTimely() || blocked.contains(flow.workspace)) {
                 continue;
             }
             any = lower(any, flow);
@@ -277,10 +283,10 @@
                 : any.in(Band.FAST).first();
     }
 
-    private Item late() {
+    private Item late(Set<WorkspaceId> blocked) {
         Flow best = null;
         for (Flow flow : flows.values()) {
-            if (!flow.in(Band.LATE).isEmpty()) {
+            if (!flow.in(Band.LATE).isEmpty() && !blocked.contains(flow.workspace)) {
                 best = lower(best, flow);
             }
         }
--- a/guavathread-core/src/main/java/org/guavathread/core/placement/PlacementCell.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/PlacementCell.java
@@ -1,11 +1,11 @@
 package org.guavathread.core.placement;
 
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
+import java.util.Set;
 
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.id.HostId;
@@ -26,8 +26,6 @@
  */
 public final class PlacementCell {
 
-    private record Expiry(long atMillis, RequestId request) {}
-
     private final PlacementSettings settings;
     private final PrefixIndex prefixes = new PrefixIndex();
     private final OutputEstimator outputs = new OutputEstimator();
@@ -35,8 +33,7 @@
     private final EnginePool engines;
     private final FairQueue queue;
     private final Map<RequestId, Reservation> reservations = new LinkedHashMap<>();
-    private final PriorityQueue<Expiry> expiries =
-            new PriorityQueue<>(Comparator.comparingLong(Expiry::atMillis).thenComparing(Expiry::request));
+    private final ExpiryQueue expiries = new ExpiryQueue();
     private final GrantPace pace = new GrantPace();
 
     /**
@@ -342,22 +339,29 @@
     private List<PlacementAction> dispatch(long nowMillis, List<PlacementAction> actions) {
         expireReservations(nowMillis, actions);
         refuseOverdue(nowMillis, actions);
-        FairQueue.Item next = queue.peek(nowMillis);
-        while (next != null) {
-            EnginePool.Choice choice = engines.choose(next, nowMillis);
-            if (choice == null) {
-                break;
-            }
-            grant(next, choice, nowMillis, actions);
-            next = queue.peek(nowMillis);
-        }
-        if (next != null) {
+        grantWhatFits(nowMillis, actions);
+        if (queue.size() > 0) {
             pace.requestsWait();
         }
         addWake(nowMillis, actions);
         return actions;
     }
 
+    private void grantWhatFits(long nowMillis, List<PlacementAction> actions) {
+        Set<WorkspaceId> blocked = new HashSet<>();
+        Set<DecodeLedger> kept = new HashSet<>();
+        FairQueue.Item next = queue.peek(nowMillis);
+        while (next != null && engines.prefillFree(nowMillis)) {
+            EnginePool.Choice choice = engines.choose(next, kept, nowMillis);
+            if (choice == null) {
+                blocked.add(next.request().workspace());
+            } else {
+                grant(next, choice, nowMillis, actions);
+            }
+            next = queue.peek(nowMillis, blocked);
+        }
+    }
+
     private void grant(FairQueue.Item item, EnginePool.Choice choice, long nowMillis, List<PlacementAction> actions) {
         PlaceRequest request = item.request();
         BackendServerId prefill = choice.prefill().spec().id();
@@ -372,7 +376,7 @@
                 .deadline(nowMillis + settings.reservationMillis());
         queue.take(item);
         reservations.put(request.request(), reservation);
-        expiries.add(new Expiry(reservation.deadlineMillis(), reservation.request()));
+        expiries.add(reservation);
         choice.decode().reserve(reservation);
         choice.prefill().start(request.request(), choice.uncachedTokens(), nowMillis);
         choice.decode().linkBusyUntilMillis(choice.transferEndMillis());
@@ -397,7 +401,7 @@
                 .deadline(nowMillis + settings.reservationMillis());
         queue.remove(running.request());
         reservations.put(running.request(), reservation);
-        expiries.add(new Expiry(reservation.deadlineMillis(), running.request()));
+        expiries.add(reservation);
         ledger.adopt(reservation);
     }
 
@@ -430,16 +434,10 @@
     }
 
     private void expireReservations(long nowMillis, List<PlacementAction> actions) {
-        while (!expiries.isEmpty() && expiries.peek().atMillis() <= nowMillis) {
-            Reservation reservation = reservations.get(expiries.poll().request());
-            if (reservation == null) {
-                continue;
-            }
-            if (reservation.deadlineMillis() > nowMillis) {
-                expiries.add(new Expiry(reservation.deadlineMillis(), reservation.request()));
-            } else {
-                cancel(reservation, nowMillis, actions);
-            }
+        Reservation expired = expiries.pollExpired(reservations, nowMillis);
+        while (expired != null) {
+            cancel(expired, nowMillis, actions);
+            expired = expiries.pollExpired(reservations, nowMillis);
         }
     }
 
@@ -484,7 +482,7 @@
     }
 
     private void addWake(long nowMillis, List<PlacementAction> actions) {
-        long at = expiries.isEmpty() ? Long.MAX_VALUE : expiries.peek().atMillis();
+        long at = expiries.nextAtMillis();
         FairQueue.Item first = queue.firstToRefuse();
         if (first != null) {
             at = Math.min(at, Math.min(first.refuseAtMillis(), engines.nextPrefillAtMillis(nowMillis)));
--- a/guavathread-core/src/test/java/org/guavathread/core/placement/PlacementCellProperties.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/placement/PlacementCellProperties.java
@@ -29,6 +29,9 @@
 /** Guards against over-committed memory, lost or doubled answers, leaked engine memory and starved workspaces. */
 class PlacementCellProperties {
 
+    /** Callers leave while their request is queued or runs, rather than after its end. */
+    private static final int RECENT = 12;
+
     private static final int BUSY_STEPS = 3_000;
 
     /** Deadlines end by 20 s, reservations 3 s later, and orphans of a lost host 10 s after its death. */
@@ -131,7 +134,7 @@
             RequestKind kind = random.nextBoolean() ? RequestKind.DEFERRABLE : RequestKind.IDEMPOTENT;
             ids.add(world.ask(random.nextInt(4), kind, 50 + random.nextInt(4_000), 500 + random.nextInt(19_000)));
         } else if (choice < 23 && !ids.isEmpty()) {
-            world.callerLeaves(ids.get(random.nextInt(ids.size())));
+            world.callerLeaves(ids.get(ids.size() - 1 - random.nextInt(Math.min(RECENT, ids.size()))));
         } else if (choice == 23 && random.nextInt(100) == 0) {
             world.killHost(1 + random.nextInt(ScheduleWorld.HOSTS - 1));
         }
