Carry out model orders and follow the core drain states

Cause: the drain timing stood in the daemon and not in a pure class, and nothing sent the planned orders. Change: duty drain runs DrainState; duty orders runs OrderPlanner, sends load and unload orders under the lease and reads the weight store when its address is set. Engines report versions of their models. Role orders are not sent, because the placement takes the role of an engine from the sheet.

--- a/guavathread-router/src/main/java/org/guavathread/router/Daemon.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/Daemon.java
@@ -17,6 +17,7 @@
 import org.guavathread.router.backend.BackendRegistry;
 import org.guavathread.router.backend.HttpConfigService;
 import org.guavathread.router.backend.HttpHostListSource;
+import org.guavathread.router.backend.HttpWeightStore;
 import org.guavathread.router.backend.Owner;
 import org.guavathread.router.caller.CallerServer;
 import org.guavathread.router.caller.RequestIds;
@@ -35,6 +36,7 @@
 import org.guavathread.router.service.ConfigurationService;
 import org.guavathread.router.service.DrainService;
 import org.guavathread.router.service.LimitService;
+import org.guavathread.router.service.OrderService;
 import org.guavathread.router.service.PeerMessages;
 import org.guavathread.router.service.PeerRouter;
 import org.guavathread.router.service.PlacementService;
@@ -109,7 +111,7 @@
         http = startedClient(clock);
         backends = new BackendRegistry(http, new Owner(self, incarnation));
         active = new ActiveRequests(KeyRing.of(fleet.now().sheet()), metrics, usage, clock);
-        drain = new DrainService(active, settings.drainDeadlineMillis(), clock);
+        drain = new DrainService(active, settings.drainDeadlineMillis(), callerSupervisor, clock);
 
         PeerRouter router = new PeerRouter();
         network = peerSupervisor.add(new PeerNetwork(
@@ -141,16 +143,16 @@
                 clock);
         placement = new PlacementService(
                 self, incarnation, settings.dataCentre(), fleet, network, backends, metrics, backendSupervisor, clock);
-        membership.exchange(configuration::serviceContact, configuration::peerReported);
-        membership.register(router);
-        claims.register(router);
-        limits.register(router);
-        retries.register(router);
-        configuration.register(router);
-        placement.register(router);
+        registerMessages(router);
+        new OrderService(
+                self,
+                fleet,
+                backends,
+                settings.weightStore().map(address -> new HttpWeightStore(http, address)),
+                platformSupervisor,
+                clock);
         fleet.onSheet(this::sheetChanged);
 
-        callerSupervisor.add(drain);
         callerSupervisor.add(new CallerServer(
                 settings.listenCallers(), new RequestIds(self, incarnation), clock, requestRouter(settings)::route));
         AdminPages pages = new AdminPages(
@@ -217,6 +219,16 @@
         return configuration.isServing() && !drain.isDraining();
     }
 
+    private void registerMessages(PeerRouter router) {
+        membership.exchange(configuration::serviceContact, configuration::peerReported);
+        membership.register(router);
+        claims.register(router);
+        limits.register(router);
+        retries.register(router);
+        configuration.register(router);
+        placement.register(router);
+    }
+
     private RequestRouter requestRouter(DaemonSettings settings) {
         PlainFlow plain = new PlainFlow(
                 fleet,
--- a/guavathread-router/src/main/java/org/guavathread/router/backend/EngineLoad.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/backend/EngineLoad.java
@@ -1,6 +1,7 @@
 package org.guavathread.router.backend;
 
 import java.util.List;
+import java.util.Map;
 
 import org.guavathread.core.id.ModelId;
 
@@ -14,6 +15,7 @@
  * @param ageMillis age of the report in milliseconds
  * @param fencing largest fencing number that the engine has seen
  * @param models models that it has loaded
+ * @param versions versions of the models; a model that is missing here has an unknown version
  * @param role the work it does
  */
 public record EngineLoad(
@@ -24,10 +26,12 @@
         long ageMillis,
         long fencing,
         List<ModelId> models,
+        Map<ModelId, String> versions,
         EngineRole role) {
 
     /** Copies the models. */
     public EngineLoad {
         models = List.copyOf(models);
+        versions = Map.copyOf(versions);
     }
 }
--- a/guavathread-router/src/main/java/org/guavathread/router/backend/HttpEngine.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/backend/HttpEngine.java
@@ -2,7 +2,9 @@
 
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
 import org.guavathread.core.id.HostId;
@@ -101,10 +103,19 @@
                     JsonFields.longInteger(node, "ageMillis"),
                     JsonFields.longInteger(node, "fencing"),
                     JsonFields.list(node.path("models"), model -> new ModelId(model.asText())),
+                    versions(node.path("versions")),
                     EngineRole.ofWireName(JsonFields.text(node, "role")));
         });
     }
 
+    private static Map<ModelId, String> versions(JsonNode node) {
+        Map<ModelId, String> versions = new HashMap<>();
+        node.fields()
+                .forEachRemaining(field -> versions.put(
+                        new ModelId(field.getKey()), field.getValue().asText()));
+        return versions;
+    }
+
     @Override
     public CompletableFuture<OrderResult> order(EngineOrder order) {
         ObjectNode body = JsonFields.object()
--- a/guavathread-router/src/main/java/org/guavathread/router/http/HttpExchange.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/HttpExchange.java
@@ -1,5 +1,6 @@
 package org.guavathread.router.http;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.ArrayList;
@@ -187,7 +188,7 @@
         if (complete) {
             pool.release(open);
         } else if (wasClosed) {
-            fail("the connection was closed", closeCause);
+            fail("the connection was closed", closedBy(closeCause));
         }
     }
 
@@ -242,7 +243,12 @@
                 return;
             }
         }
-        fail(cause == null ? "the connection was closed" : "the answer cannot be read: " + cause, cause);
+        fail(cause == null ? "the connection was closed" : "the answer cannot be read: " + cause, closedBy(cause));
+    }
+
+    /** Marks a connection that the peer closed, as opposed to a deadline, a silence or a cancellation. */
+    private static Throwable closedBy(Throwable cause) {
+        return cause == null ? new EOFException("the peer closed the connection") : cause;
     }
 
     /** Handles the next part of the answer. */
--- a/guavathread-router/src/main/java/org/guavathread/router/service/DrainService.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/service/DrainService.java
@@ -1,37 +1,40 @@
 package org.guavathread.router.service;
 
+import java.util.concurrent.CountDownLatch;
+
+import org.guavathread.core.drain.DrainState;
+import org.guavathread.core.drain.DrainStep;
 import org.guavathread.core.time.Clock;
 import org.guavathread.router.flow.ActiveRequests;
-import org.guavathread.router.supervisor.Supervised;
+import org.guavathread.router.supervisor.Duty;
+import org.guavathread.router.supervisor.Supervisor;
 import org.tinylog.Logger;
 
-/** Carries a graceful shutdown out, and ends requests again whose API key was withdrawn. */
-public final class DrainService implements Supervised {
-
-    /** Longer than callers keep the answer of {@code /v1/entry}, which is 5 s. */
-    private static final long ANNOUNCE_MILLIS = 6_000;
+/** Duty {@code drain}: carries a graceful shutdown out, and ends requests whose API key was withdrawn. */
+public final class DrainService {
 
-    private static final long POLL_MILLIS = 50;
+    private static final long TICK_MILLIS = 50;
 
     private final ActiveRequests active;
     private final int deadlineMillis;
     private final Clock clock;
-    private volatile boolean draining;
-    private volatile boolean refusing;
-    private volatile boolean running;
-    private Thread thread;
+    private final DrainState state = new DrainState();
+    private final CountDownLatch mayExit = new CountDownLatch(1);
 
     /**
-     * Builds the service.
+     * Builds the duty and adds it to a supervisor.
      *
      * @param active the running requests
      * @param deadlineMillis how long running requests may take after the start of the drain, in milliseconds
+     * @param supervisor the supervisor
      * @param clock source of the time
      */
-    public DrainService(ActiveRequests active, int deadlineMillis, Clock clock) {
+    public DrainService(ActiveRequests active, int deadlineMillis, Supervisor supervisor, Clock clock) {
         this.active = active;
         this.deadlineMillis = deadlineMillis;
         this.clock = clock;
+        // The drain survives a restart of its duty, so its state belongs to the service and not to the duty.
+        supervisor.add(new Duty<>("drain", () -> state, supervisor, clock).every(TICK_MILLIS, this::tick));
     }
 
     /**
@@ -40,7 +43,9 @@
      * @return true from the start of the drain
      */
     public boolean isDraining() {
-        return draining;
+        synchronized (state) {
+            return state.isDraining();
+        }
     }
 
     /**
@@ -49,70 +54,38 @@
      * @return true once callers have had time to learn of other addresses
      */
     public boolean refusesNewWork() {
-        return refusing;
+        synchronized (state) {
+            return !state.takesWork(clock.nowMillis());
+        }
     }
 
     /**
-     * Drains and returns when no request runs any more, at the latest at the deadline.
+     * Drains and returns when no request runs any more, at the latest shortly after the deadline.
      *
      * @param hasPeers whether callers can go to another host; if not, waiting for them to leave is useless
      */
     public void drain(boolean hasPeers) {
-        long startMillis = clock.nowMillis();
-        draining = true;
-        waitUntil(startMillis + (hasPeers ? Math.min(ANNOUNCE_MILLIS, deadlineMillis) : 0), false);
-        refusing = true;
-        waitUntil(startMillis + deadlineMillis, true);
-        int left = active.count();
-        if (left > 0) {
-            Logger.warn("{} requests were still running at the drain deadline; they are cancelled.", left);
-            active.cancelAll();
+        synchronized (state) {
+            state.begin(hasPeers, deadlineMillis, clock.nowMillis());
         }
-    }
-
-    @Override
-    public String name() {
-        return "key-withdrawal";
-    }
-
-    @Override
-    public void start() {
-        running = true;
-        thread = new Thread(this::repeatEndings, name());
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    @Override
-    public void stop() {
-        running = false;
-        thread.interrupt();
-    }
-
-    private void repeatEndings() {
-        while (running) {
-            active.repeatEndings(clock.nowMillis());
-            if (!pause()) {
-                return;
-            }
+        try {
+            mayExit.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
-    private void waitUntil(long untilMillis, boolean untilIdle) {
-        while (clock.nowMillis() < untilMillis && !(untilIdle && active.count() == 0)) {
-            if (!pause()) {
-                return;
-            }
+    private void tick(DrainState same, long nowMillis) {
+        active.repeatEndings(nowMillis);
+        DrainStep step;
+        synchronized (state) {
+            step = state.onTick(active.count(), nowMillis);
         }
-    }
-
-    private static boolean pause() {
-        try {
-            Thread.sleep(POLL_MILLIS);
-            return true;
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return false;
+        if (step == DrainStep.CANCEL_RUNNING) {
+            Logger.warn("{} requests still run at the drain deadline; they are cancelled.", active.count());
+            active.cancelAll();
+        } else if (step == DrainStep.EXIT) {
+            mayExit.countDown();
         }
     }
 }
--- a/guavathread-router/src/main/java/org/guavathread/router/settings/DaemonSettings.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/settings/DaemonSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.URI;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 
 import org.guavathread.core.id.DataCentreId;
@@ -43,6 +44,12 @@
     @Option(name = "--host-list", metaVar = "URL", usage = "list of live and leaving hosts, http://IP:PORT")
     private String hostList;
 
+    @Option(
+            name = "--weight-store",
+            metaVar = "URL",
+            usage = "weight store, http://IP:PORT; paces loads if it is given")
+    private String weightStore;
+
     @Option(
             name = "--drain-deadline-millis",
             metaVar = "N",
@@ -72,6 +79,7 @@
         listenAdmin();
         configService();
         hostList();
+        weightStore();
         drainDeadlineMillis();
         logLevel();
         return this;
@@ -105,6 +113,15 @@
         return urlAddress("--host-list", hostList);
     }
 
+    /**
+     * Gives the address of the weight store.
+     *
+     * @return the address, or empty if none is set
+     */
+    public Optional<SocketAddressText> weightStore() {
+        return Optional.ofNullable(weightStore).map(value -> urlAddress("--weight-store", value));
+    }
+
     /**
      * Gives how long running requests may take after SIGTERM.
      *
@@ -178,6 +195,11 @@
         return this;
     }
 
+    public DaemonSettings weightStore(String value) {
+        weightStore = value;
+        return this;
+    }
+
     public DaemonSettings drainDeadlineMillis(int value) {
         drainDeadlineMillis = value;
         return this;
--- a/guavathread-router/src/test/java/org/guavathread/router/backend/EngineAdaptersTest.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/backend/EngineAdaptersTest.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -103,7 +104,7 @@
             get(adapter(engine).reserve(id("a"), 3, in(20_000)));
         }
         EngineLoad load = get(adapter(current).load(in(20_000)));
-        assertEquals(new EngineLoad(20, 3, 0, 1, 0, 0, List.of(MODEL), EngineRole.DECODE), load);
+        assertEquals(new EngineLoad(20, 3, 0, 1, 0, 0, List.of(MODEL), Map.of(), EngineRole.DECODE), load);
         EngineLoad old = get(adapter(lagging).load(in(20_000)));
         assertEquals(0, old.usedPieces());
         assertEquals(600_000, old.ageMillis());
--- a/guavathread-standin/src/main/java/org/guavathread/standin/FakeEngine.java
+++ b/guavathread-standin/src/main/java/org/guavathread/standin/FakeEngine.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -28,6 +29,7 @@
     private final EngineSettings settings;
     private final Map<String, Held> held = new LinkedHashMap<>();
     private final Set<String> models = new TreeSet<>();
+    private final Map<String, String> versions = new TreeMap<>();
     private final Deque<Report> reports = new ArrayDeque<>();
     private final List<Order> orders = new ArrayList<>();
     private String role;
@@ -159,6 +161,8 @@
                 .put("role", role);
         ArrayNode names = load.putArray("models");
         models.forEach(names::add);
+        ObjectNode loaded = load.putObject("versions");
+        versions.forEach(loaded::put);
         reports.addLast(new Report(now, load));
         while (reports.size() > 1 && secondReport().atMillis() <= now - settings.loadLagMillis()) {
             reports.removeFirst();
@@ -197,7 +201,7 @@
     private void carryOut(Order order) {
         switch (order.action()) {
             case "load_model" -> fetchWeights(order);
-            case "unload_model" -> changeModels(order.model(), false);
+            case "unload_model" -> changeModels(order, false);
             case "change_role" -> changeRole(order.role());
             default -> noteLoad();
         }
@@ -205,7 +209,7 @@
 
     private void fetchWeights(Order order) {
         if (settings.weightStore().isEmpty()) {
-            changeModels(order.model(), true);
+            changeModels(order, true);
             return;
         }
         String name = order.model() + "-" + order.version();
@@ -214,16 +218,18 @@
                 .build();
         HTTP.sendAsync(request, HttpResponse.BodyHandlers.discarding()).thenAccept(answer -> {
             if (answer.statusCode() == 200) {
-                changeModels(order.model(), true);
+                changeModels(order, true);
             }
         });
     }
 
-    private synchronized void changeModels(String model, boolean add) {
+    private synchronized void changeModels(Order order, boolean add) {
+        versions.remove(order.model());
         if (add) {
-            models.add(model);
+            models.add(order.model());
+            versions.put(order.model(), order.version());
         } else {
-            models.remove(model);
+            models.remove(order.model());
         }
         noteLoad();
     }
