--- a/guavathread-bench/src/main/java/org/guavathread/bench/GuavathreadBench.java
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/GuavathreadBench.java
@@ -8,6 +8,7 @@
 import org.guavathread.bench.claims.ClaimsScenario;
 import org.guavathread.bench.placement.PlacementScenario;
 import org.guavathread.bench.configuration.ConfigurationScenario;
+import org.guavathread.bench.limits.LimitsScenario;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -49,6 +50,7 @@
         scenarios.add(new ClaimsScenario());
         scenarios.add(new PlacementScenario());
         scenarios.add(new ConfigurationScenario());
+        scenarios.add(new LimitsScenario());
         return scenarios;
     }
 
