Test the holes of the epoch rules one by one

Cause: random schedules did not reach the rarer holes: 300 schedules of 90 s found no conflict with a single confirmation, with a restarted witness that answers after 10 s regardless, or with the witnesses of one region only.

Change: a hand-made schedule for each of these, and for a lease counted from the reply, a lease without the witnesses of earlier epochs, and settling over the last epoch only.

--- a/guavathread-core/src/main/java/org/guavathread/core/config/ConfigSpread.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/config/ConfigSpread.java
@@ -93,13 +93,13 @@
     public List<ConfigAction> onTick(long nowMillis) {
         List<ConfigAction> actions = new ArrayList<>();
         fetches.values().removeIf(fetch -> fetch.isOverdue(nowMillis));
+        if (start != null && start.isOver(nowMillis)) {
+            actions.addAll(endStart(nowMillis));
+        }
         if (start != null) {
             for (HostId peer : start.toAsk(nowMillis)) {
                 actions.addAll(fetch(peer, SheetVersion.NONE, nowMillis));
             }
-            if (start.isOver(nowMillis)) {
-                actions.addAll(endStart(nowMillis));
-            }
         }
         boolean serviceAllowed = start == null || start.mayReadService(nowMillis);
         if (serviceAllowed && reader.isCallDue(nowMillis)) {
--- a/guavathread-core/src/test/java/org/guavathread/core/membership/EpochTrackerTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/membership/EpochTrackerTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiPredicate;
 
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostEpoch;
@@ -29,6 +30,7 @@
 
     private final Map<HostId, EpochTracker> trackers = new LinkedHashMap<>();
     private final Set<HostId> unreachable = new HashSet<>();
+    private BiPredicate<String, String> cut = (from, to) -> false;
     private long now = 1_000_000;
 
     @Test
@@ -116,6 +118,100 @@
         assertTrue(view("c").holdsLease(now) && view("c").isSettled(now));
     }
 
+    /** A witness that confirmed and then forgot must not count: its next run supports the old epoch. */
+    @Test
+    void aConfirmationOfAnEarlierRunOfAWitnessDoesNotSettle() {
+        start(sheet(1, "a", "b", "c", "d", "e"), "a", "b", "c", "d", "e");
+        run(30_000);
+        publish(sheet(2, "b", "c", "d", "e"), "e", "b");
+        cut = (x, y) -> !"be".contains(x) || !"be".contains(y);
+        run(2_000);
+        cut = (x, y) -> x.equals("e") || y.equals("e");
+        start(sheet(1, "a", "b", "c", "d", "e"), "b");
+        run(2_000);
+        cut = (x, y) -> "ce".contains(x) != "ce".contains(y);
+        publish(sheet(2, "b", "c", "d", "e"), "c");
+        run(20_000);
+        assertTrue(view("a").holdsLease(now));
+        assertFalse(view("e").isSettled(now));
+    }
+
+    /** Each region grants leases by itself, so that all of them must confirm the next epoch. */
+    @Test
+    void anEpochDoesNotSettleWhileAnotherRegionGoesOnWithTheOldOne() {
+        for (String first : List.of("abc", "def")) {
+            trackers.clear();
+            cut = (x, y) -> false;
+            start(twoRegions(1, "abcdef"), "a", "b", "c", "d", "e", "f");
+            run(30_000);
+            cut = (x, y) -> "abc".contains(x) != "abc".contains(y);
+            String other = first.equals("abc") ? "def" : "abc";
+            String removed = other.substring(0, 1);
+            publish(twoRegions(2, "abcdef".replace(removed, "")), first.split(""));
+            run(30_000);
+            assertTrue(view(removed).holdsLease(now));
+            assertFalse(view(first.substring(1, 2)).isSettled(now));
+            assertTrue(view(first.substring(1, 2)).holdsLease(now), "kept rights go on");
+        }
+    }
+
+    /** A host that skipped epoch 2 settles epoch 3 without asking its witnesses, so they must not carry a lease. */
+    @Test
+    void theWitnessesOfAnUnsettledEpochAloneSupportNoLease() {
+        start(sheet(1, "a", "b", "c"), "a", "b", "c");
+        run(30_000);
+        cut = (x, y) -> "ade".contains(x) != "ade".contains(y);
+        start(sheet(2, "a", "d", "e"), "d", "e");
+        publish(sheet(2, "a", "d", "e"), "a");
+        publish(sheet(3, "b", "c"), "b", "c");
+        run(20_000);
+        assertTrue(view("b").isSettled(now) && view("b").holdsLease(now));
+        assertFalse(view("a").holdsLease(now));
+    }
+
+    /** Two changes in quick succession: leases of the first epoch may still run when the third comes. */
+    @Test
+    void anEpochDoesNotSettleWhileLeasesOfTheEpochBeforeTheLastOneMayRun() {
+        start(sheet(1, "a", "b", "c"), "a", "b", "c");
+        run(30_000);
+        cut = (x, y) -> "ab".contains(x) != "ab".contains(y);
+        start(sheet(2, "c", "d", "e"), "d", "e");
+        publish(sheet(2, "c", "d", "e"), "c");
+        run(1_000);
+        publish(sheet(3, "c", "d"), "c", "d", "e");
+        run(30_000);
+        assertTrue(view("a").holdsLease(now));
+        assertFalse(view("c").isSettled(now));
+    }
+
+    /** A reply that was under way for long must not extend the lease beyond what the witness knew when it was asked. */
+    @Test
+    void theLeaseIsCountedFromTheTimeOfAsking() {
+        start(sheet(1, "a", "b"), "a", "b");
+        run(30_000);
+        EpochTracker a = trackers.get(new HostId("a"));
+        HostId b = new HostId("b");
+        long askedAt = now;
+        WitnessPing ping = new WitnessPing(a.epoch(), new SheetVersion(1), new Incarnation(1_000_000), askedAt, false);
+        WitnessReply reply = trackers.get(b).onPing(new HostId("a"), ping, now);
+        now += 8_000;
+        a.onReply(b, reply, now);
+        assertEquals(askedAt + 9_000, view("a").leaseDeadlineMillis());
+    }
+
+    @Test
+    void aRightMustBeHeldInEveryEpochThatIsStillLive() {
+        EpochMembers current = new EpochMembers(new HostEpoch(3), List.of());
+        EpochView view = new EpochView(current, now + 1, now, EpochView.NOT_SETTLED, List.of(live(2), live(1)));
+        assertTrue(view.mayUse(members -> true, now));
+        assertFalse(view.mayUse(members -> members.epoch().value() > 1, now));
+        assertFalse(view.mayUse(members -> true, now + 1));
+    }
+
+    private static EpochView.Superseded live(long epoch) {
+        return new EpochView.Superseded(new EpochMembers(new HostEpoch(epoch), List.of()), 0, EpochView.NOT_SETTLED);
+    }
+
     private EpochView view(String host) {
         return trackers.get(new HostId(host)).view(now);
     }
@@ -145,6 +241,23 @@
         }
     }
 
+    /** Hosts a, b and c stand in region r0, the others in region r1. */
+    private static Sheet twoRegions(long version, String active) {
+        List<Host> hosts = new ArrayList<>();
+        for (String host : active.split("")) {
+            DataCentreId dataCentre = new DataCentreId("abc".contains(host) ? "dc0" : "dc1");
+            SocketAddressText address = SocketAddressText.parse("127.0.0.1:" + (1_000 + host.charAt(0)));
+            hosts.add(new Host(new HostId(host), dataCentre, address, address, address, AdminState.ACTIVE));
+        }
+        return Sheet.builder()
+                .version(new SheetVersion(version))
+                .dataCentres(List.of(
+                        new DataCentre(new DataCentreId("dc0"), new RegionId("r0")),
+                        new DataCentre(new DataCentreId("dc1"), new RegionId("r1"))))
+                .hosts(hosts)
+                .build();
+    }
+
     private static Sheet sheet(long version, String... active) {
         List<Host> hosts = new ArrayList<>();
         for (String host : active) {
