Let late requests leave decode room for those that can meet the target

Cause: under overload the late band filled each freed piece whenever no timely request waited, so the next timely request found no room and became late too.

Change: a late request needs 4 free pieces more than it takes.

--- a/guavathread-core/src/main/java/org/guavathread/core/placement/EnginePool.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/EnginePool.java
@@ -93,12 +93,17 @@
     /**
      * Chooses the decode engine first, then the prefill engine; returns null if either has to wait. A request that waits
      * for memory keeps the engine with the most room for itself, so that smaller requests cannot take it piece by piece.
+     *
+     * @param headroom pieces that must stay free on the decode engine for requests that can meet their target
      */
-    Choice choose(FairQueue.Item item, Set<DecodeLedger> kept, long nowMillis) {
-        DecodeLedger decode = roomiest(item.pieces(), kept, nowMillis);
+    Choice choose(FairQueue.Item item, int headroom, Set<DecodeLedger> kept, long nowMillis) {
+        DecodeLedger decode = roomiest(item.pieces() + headroom, kept, nowMillis);
         if (decode != null) {
             return withPrefill(decode, item.request(), nowMillis);
         }
+        if (headroom > 0) {
+            return null;
+        }
         DecodeLedger toKeep = roomiest(Integer.MIN_VALUE, kept, nowMillis);
         if (toKeep != null) {
             kept.add(toKeep);
--- a/guavathread-core/src/main/java/org/guavathread/core/placement/FairQueue.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/FairQueue.java
@@ -64,6 +64,11 @@
             return pieces;
         }
 
+        /** Tells whether the request can no longer meet the latency target. */
+        boolean isLate() {
+            return band == Band.LATE;
+        }
+
         long refuseAtMillis() {
             return refuseAtMillis;
         }
--- a/guavathread-core/src/main/java/org/guavathread/core/placement/PlacementCell.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/PlacementCell.java
@@ -352,7 +352,8 @@
         Set<DecodeLedger> kept = new HashSet<>();
         FairQueue.Item next = queue.peek(nowMillis);
         while (next != null && engines.prefillFree(nowMillis)) {
-            EnginePool.Choice choice = engines.choose(next, kept, nowMillis);
+            int headroom = next.isLate() ? settings.headroomPieces() : 0;
+            EnginePool.Choice choice = engines.choose(next, headroom, kept, nowMillis);
             if (choice == null) {
                 blocked.add(next.request().workspace());
             } else {
--- a/guavathread-core/src/main/java/org/guavathread/core/placement/PlacementSettings.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/PlacementSettings.java
@@ -15,7 +15,8 @@
         int tokenMillis,
         int prefillTokensPerMilli,
         int fairLeadTokens,
-        int lateSharePercent) {
+        int lateSharePercent,
+        int headroomPieces) {
 
     /** Settings of sheet sizes of today. */
     public static final PlacementSettings DEFAULTS = new PlacementSettings(
@@ -32,7 +33,8 @@
             26, // target of the time between tokens
             30, // start value; the cell learns the rate of each engine
             16_000, // about eight requests; bounds how far priority may move a workspace ahead of its fair share
-            5); // late requests advance under overload, at a cost of one grant in twenty
+            5, // late requests advance under overload, at a cost of one grant in twenty
+            4); // late requests leave room for nearly any request that can still meet its target
 
     /** Copies with another size of a piece, in tokens. */
     public PlacementSettings withTokensPerPiece(int value) {
@@ -50,7 +52,8 @@
                 tokenMillis,
                 prefillTokensPerMilli,
                 fairLeadTokens,
-                lateSharePercent);
+                lateSharePercent,
+                headroomPieces);
     }
 
     /** Copies with other bounds of the queue, in requests. */
@@ -69,7 +72,8 @@
                 tokenMillis,
                 prefillTokensPerMilli,
                 fairLeadTokens,
-                lateSharePercent);
+                lateSharePercent,
+                headroomPieces);
     }
 
     /**
