Accept answers of plain services that do not echo the request id

Cause: plain services are not ours, and one that does not know the header Guavathread-Request-Id failed every call. Change: an absent header is accepted, another id is still refused.

--- a/guavathread-router/src/main/java/org/guavathread/router/backend/HttpPlainService.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/backend/HttpPlainService.java
@@ -82,7 +82,11 @@
 
     private CompletableFuture<ServiceAnswer> answerOf(ServiceCall call, HttpAnswer answer) {
         try {
-            JsonCalls.checkRequestId(call.requestId(), answer.head());
+            // A service that does not know the header is matched by its connection alone, on which nothing is
+            // pipelined.
+            if (answer.head().header(JsonCalls.REQUEST_ID).isPresent()) {
+                JsonCalls.checkRequestId(call.requestId(), answer.head());
+            }
         } catch (IllegalArgumentException e) {
             return CompletableFuture.failedFuture(
                     new BackendAnswerException("call", address, answer.status(), e.getMessage(), e));
--- a/guavathread-router/src/test/java/org/guavathread/router/backend/ServiceAndPlatformAdaptersTest.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/backend/ServiceAndPlatformAdaptersTest.java
@@ -84,6 +84,16 @@
         failureOf(BackendAnswerException.class, new HttpPlainService(client, peer.address()).call(call));
     }
 
+    @Test
+    void serviceThatDoesNotKnowTheRequestHeaderIsServed() throws Exception {
+        ScriptedPeer peer = closing(new ScriptedPeer(
+                (head, out, socket) -> ScriptedPeer.text(out, "HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\n{}")));
+        ServiceCall call = new ServiceCall(id("r1"), "GET", "/queue", Map.of(), new byte[0], true, NEVER, in(20_000));
+        assertEquals(
+                201,
+                get(new HttpPlainService(client, peer.address()).call(call)).status());
+    }
+
     @Test
     void cancelledCallClosesItsConnection() throws Exception {
         FakePlainService service = closing(FakePlainService.builder().start());
