Refuse plain calls that crash backend servers and count wrongful refusals

Cause: only language requests were checked for crashes; the counter of wrongful refusals was never raised; a fingerprint without its workspace would let one workspace have another one's equal request refused. Change: calls with a body have a fingerprint within their workspace; refusals for reasons of the system count as wrongful; requests refused before they have a route are counted as well.

--- a/guavathread-core/src/main/java/org/guavathread/core/request/RefusalCode.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/request/RefusalCode.java
@@ -47,6 +47,26 @@
         this.httpStatus = httpStatus;
     }
 
+    /**
+     * Tells whether the system refused for a reason of its own. Such a refusal of a workspace within its rate is a
+     * wrongful refusal.
+     *
+     * @return false if the request, its key, its workspace's use or its history is the reason
+     */
+    public boolean isSystemReason() {
+        return switch (this) {
+            case OVERLOADED,
+                    NO_ROOM,
+                    DRAINING,
+                    CLAIMS_UNAVAILABLE,
+                    ISOLATED,
+                    BACKEND_FAILED,
+                    OUTCOME_UNKNOWN,
+                    DEADLINE -> true;
+            default -> false;
+        };
+    }
+
     /**
      * Gives the HTTP status of an answer with this code.
      *
--- a/guavathread-router/src/main/java/org/guavathread/router/Daemon.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/Daemon.java
@@ -143,6 +143,7 @@
                 clock);
         placement = new PlacementService(
                 self, incarnation, settings.dataCentre(), fleet, network, backends, metrics, backendSupervisor, clock);
+        active.onEnd(retries::requestEnded);
         registerMessages(router);
         new OrderService(
                 self,
--- a/guavathread-router/src/main/java/org/guavathread/router/flow/ActiveRequests.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/ActiveRequests.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
 
 import org.guavathread.core.id.RequestId;
 import org.guavathread.core.key.KeyRing;
@@ -23,6 +24,7 @@
     private final WorkspaceUsage usage;
     private final RequestTraces traces;
     private final Clock clock;
+    private volatile Consumer<RequestId> onEnd = id -> {};
 
     /**
      * Starts without requests.
@@ -40,6 +42,24 @@
         this.clock = clock;
     }
 
+    /**
+     * Sets what runs when a request has ended.
+     *
+     * @param action must return soon
+     */
+    public void onEnd(Consumer<RequestId> action) {
+        onEnd = action;
+    }
+
+    /**
+     * Counts a refusal of a request that was never accepted.
+     *
+     * @param refusal the refusal
+     */
+    void refusedAtOnce(Refusal refusal) {
+        metrics.countRefusal(refusal);
+    }
+
     public RequestTraces traces() {
         return traces;
     }
@@ -115,6 +135,9 @@
 
     void refused(RequestContext context, Refusal refusal) {
         metrics.countRefusal(refusal);
+        if (refusal.code().isSystemReason()) {
+            metrics.countWrongfulRefusal();
+        }
         if (context.isCharged()) {
             usage.refused(context.workspace(), refusal.code() == RefusalCode.RATE_LIMITED);
         }
@@ -123,6 +146,7 @@
 
     private void end(RequestContext context, String outcome) {
         boolean first = entries.remove(context.id()) != null;
+        onEnd.accept(context.id());
         if (first) {
             metrics.countRequest(context.route(), outcome);
         }
--- a/guavathread-router/src/main/java/org/guavathread/router/flow/LanguageFlow.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/LanguageFlow.java
@@ -61,7 +61,7 @@
             context.refuseAsStated(Refusal.notRun(code, e.getMessage()));
             return;
         }
-        if (services.retries().isCrashSuspect(request.fingerprint())) {
+        if (services.retries().isCrashSuspect(request.fingerprint(context.workspace()))) {
             context.refuse(Refusal.notRun(
                     RefusalCode.CRASH_SUSPECT,
                     "Backend servers crashed while they ran this request; change it before you send it again."));
--- a/guavathread-router/src/main/java/org/guavathread/router/flow/LanguageRequest.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/LanguageRequest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 
 import org.guavathread.core.id.ModelId;
+import org.guavathread.core.id.WorkspaceId;
 import org.guavathread.core.placement.PrefixHash;
 import org.guavathread.core.retry.Fingerprint;
 import org.guavathread.core.sheet.Model;
@@ -86,8 +87,9 @@
         return hashes;
     }
 
-    Fingerprint fingerprint() {
-        return fingerprint(model.value(), prompt.getBytes(StandardCharsets.UTF_8));
+    /** Identifies the request over its resends, within its workspace, so that no workspace can have another refused. */
+    Fingerprint fingerprint(WorkspaceId workspace) {
+        return fingerprint(workspace + " " + model, prompt.getBytes(StandardCharsets.UTF_8));
     }
 
     static Fingerprint fingerprint(String target, byte[] content) {
--- a/guavathread-router/src/main/java/org/guavathread/router/flow/LanguageRun.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/LanguageRun.java
@@ -312,13 +312,12 @@
         ended = true;
         services.limits().cancel(id());
         services.limits().end(id(), unusedTokens);
-        services.retries().requestEnded(id());
     }
 
     /** A resend of the same request is recognised by its fingerprint, whichever host gets it. */
     private void reportCrash(BackendServerId server, Throwable failure) {
         if (Failures.isConnectionLost(failure)) {
-            services.retries().serverCrashed(server, List.of(request.fingerprint()));
+            services.retries().serverCrashed(server, List.of(request.fingerprint(context.workspace())));
         }
     }
 
--- a/guavathread-router/src/main/java/org/guavathread/router/flow/PlainFlow.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/PlainFlow.java
@@ -19,6 +19,7 @@
 import org.guavathread.core.request.Refusal;
 import org.guavathread.core.request.RefusalCode;
 import org.guavathread.core.request.RequestKind;
+import org.guavathread.core.retry.Fingerprint;
 import org.guavathread.core.sheet.BackendServer;
 import org.guavathread.core.time.Clock;
 import org.guavathread.router.backend.BackendRegistry;
@@ -90,6 +91,12 @@
                             + " request and the same one on each resend."));
             return;
         }
+        if (fingerprint(context).filter(retries::isCrashSuspect).isPresent()) {
+            context.refuse(Refusal.notRun(
+                    RefusalCode.CRASH_SUSPECT,
+                    "Backend servers crashed while they ran this request; change it before you send it again."));
+            return;
+        }
         if (!active.begin(context, () -> limits.cancel(context.id()))) {
             context.refuse(Refusal.notRun(RefusalCode.KEY_UNKNOWN, "The API key was withdrawn; use another key."));
             return;
@@ -221,9 +228,23 @@
             synchronized (choice) {
                 choice.ended(server, failure != null, clock.nowMillis());
             }
+            if (Failures.isConnectionLost(failure)) {
+                fingerprint(context).ifPresent(f -> retries.serverCrashed(server, List.of(f)));
+            }
         });
     }
 
+    /**
+     * Identifies the request over its resends. Requests without a body have none: a lookup that all callers share would
+     * otherwise be refused after two crashes that have another cause.
+     */
+    private static Optional<Fingerprint> fingerprint(RequestContext context) {
+        byte[] body = context.exchange().body();
+        String target = context.workspace() + " " + context.route().id()
+                + context.exchange().query();
+        return body.length == 0 ? Optional.empty() : Optional.of(LanguageRequest.fingerprint(target, body));
+    }
+
     private static Map<String, String> headersFor(RequestContext context) {
         Map<String, String> headers = new java.util.HashMap<>();
         for (String name : List.of("Content-Type", "Accept", "Accept-Language", "Idempotency-Key", "Traceparent")) {
--- a/guavathread-router/src/main/java/org/guavathread/router/flow/RequestRouter.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/RequestRouter.java
@@ -94,7 +94,7 @@
         }
         Optional<Route> route = now.sheet().routeByPath(exchange.path());
         if (route.isEmpty()) {
-            exchange.refuse(now.hasSheet() ? noRoute(exchange, now) : noSheet());
+            refuseAtOnce(exchange, now.hasSheet() ? noRoute(exchange, now) : noSheet());
             return;
         }
         Optional<KeyRing.Owner> owner = presentedKey(exchange).flatMap(now.keys()::ownerOf);
@@ -127,8 +127,7 @@
                     RefusalCode.KEY_MISSING, "Route " + route.id() + " needs the header Authorization: Bearer KEY."));
         }
         if (owner.isEmpty()) {
-            return Optional.of(Refusal.notRun(
-                    RefusalCode.KEY_UNKNOWN, "The API key belongs to no workspace; it may have been withdrawn."));
+            return Optional.of(keyUnknown());
         }
         if (isolated.getAsBoolean()) {
             return Optional.of(Refusal.notRun(
@@ -141,20 +140,29 @@
 
     private void answerEntry(CallerExchange exchange, FleetSnapshot now) {
         if (!now.hasSheet()) {
-            exchange.refuse(noSheet());
+            refuseAtOnce(exchange, noSheet());
             return;
         }
         Optional<String> key = presentedKey(exchange);
         Optional<KeyRing.Owner> owner = key.flatMap(now.keys()::ownerOf);
         if (key.isPresent() && owner.isEmpty()) {
-            exchange.refuse(Refusal.notRun(
-                    RefusalCode.KEY_UNKNOWN, "The API key belongs to no workspace; it may have been withdrawn."));
+            refuseAtOnce(exchange, keyUnknown());
             return;
         }
         Object answer = EntryAnswer.of(now, self, dataCentre, owner.map(KeyRing.Owner::workspace));
         exchange.answer(200, Map.of("Content-Type", "application/json", "Cache-Control", "no-store"), json(answer));
     }
 
+    private void refuseAtOnce(CallerExchange exchange, Refusal refusal) {
+        active.refusedAtOnce(refusal);
+        exchange.refuse(refusal);
+    }
+
+    private static Refusal keyUnknown() {
+        return Refusal.notRun(
+                RefusalCode.KEY_UNKNOWN, "The API key belongs to no workspace; it may have been withdrawn.");
+    }
+
     private static Refusal noSheet() {
         return Refusal.notRun(
                         RefusalCode.OVERLOADED, "This host has not read the sheet yet; try again or use another host.")
