--- a/guavathread-bench/src/main/java/org/guavathread/bench/GuavathreadBench.java
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/GuavathreadBench.java
@@ -5,10 +5,11 @@
 import java.util.List;
 import java.util.Map;
 
+import org.guavathread.bench.capacity.CapacityScenario;
 import org.guavathread.bench.claims.ClaimsScenario;
-import org.guavathread.bench.placement.PlacementScenario;
 import org.guavathread.bench.configuration.ConfigurationScenario;
 import org.guavathread.bench.limits.LimitsScenario;
+import org.guavathread.bench.placement.PlacementScenario;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -51,6 +52,7 @@
         scenarios.add(new PlacementScenario());
         scenarios.add(new ConfigurationScenario());
         scenarios.add(new LimitsScenario());
+        scenarios.add(new CapacityScenario());
         return scenarios;
     }
 
