--- a/guavathread-bench/src/main/java/org/guavathread/bench/claims/ScheduleSimulator.java
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/claims/ScheduleSimulator.java
@@ -280,11 +280,19 @@
         network.send(from, to, () -> hosts.get(to).receive(from, message));
     }
 
-    /** Connects a caller to a host; it tries another one at once when a connection is refused. */
+    /**
+     * Connects a caller to a host; it tries another one at once when a connection is refused. In fault schedules callers
+     * also use hosts that are not members, because they may have old addresses.
+     */
     void connect(SimCall call) {
         List<SimHost> listed = new ArrayList<>(hosts.values());
         listed.removeIf(h ->
                 deadSinceMillis.getOrDefault(h.id(), time.nowMillis()) + CALLERS_NOTICE_MILLIS <= time.nowMillis());
+        if (!insistent) {
+            Set<HostId> members = new HashSet<>();
+            published.get(0).hosts().forEach(h -> members.add(h.id()));
+            listed.removeIf(h -> !members.contains(h.id()));
+        }
         while (!listed.isEmpty()) {
             SimHost host = listed.remove(random.nextInt(listed.size()));
             if (host.isUp()) {
