Count messages and decode steps before a request is late

Cause: the margin of 10 ms did not cover the messages and the wait for a decode step after the transfer, so under overload many requests were served just in time to miss the target narrowly.

Change: a request is late 60 ms before the target less prefill and transfer.

--- a/guavathread-core/src/main/java/org/guavathread/core/placement/PlacementSettings.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/PlacementSettings.java
@@ -29,7 +29,7 @@
             1_000, // an engine whose report is older may be stalled or dead
             800, // engines keep a prefill result this long
             8, // covers the messages from the grant to the start of the prefill
-            10, // a request that would only just miss its target should not take the place of one that meets it
+            60, // messages and up to two decode steps follow the transfer; 10 ms let requests miss the target narrowly
             26, // target of the time between tokens
             30, // start value; the cell learns the rate of each engine
             16_000, // about eight requests; bounds how far priority may move a workspace ahead of its fair share
