Let workspaces far above their share of memory leave room for others

Cause: a workspace at five times its rate filled each freed piece, so the first requests of the others waited for memory and missed the target.

Change: a workspace above one and a half times its share plus 8 pieces leaves the same headroom as late requests.

--- a/guavathread-core/src/main/java/org/guavathread/core/placement/EnginePool.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/EnginePool.java
@@ -74,6 +74,14 @@
         return decodes.values();
     }
 
+    /** Adds up the memory of the decode engines that may get new work. */
+    int usableMemory(long nowMillis) {
+        return decodes.values().stream()
+                .filter(d -> d.usable(nowMillis, settings.reportStaleMillis()))
+                .mapToInt(DecodeLedger::memoryPieces)
+                .sum();
+    }
+
     /** Tells whether any decode engine of the cell is large enough, free or not; true while none is known. */
     boolean couldHold(int pieces) {
         return decodes.isEmpty() || decodes.values().stream().anyMatch(d -> d.memoryPieces() >= pieces);
@@ -91,17 +99,17 @@
     }
 
     /**
-     * Chooses the decode engine first, then the prefill engine; returns null if either has to wait. A request that waits
-     * for memory keeps the engine with the most room for itself, so that smaller requests cannot take it piece by piece.
+     * Chooses the decode engine first, then the prefill engine; returns null if either has to wait. A request that
+     * waits for memory keeps the engine with the most room, so that smaller requests cannot take it piece by piece.
      *
-     * @param headroom pieces that must stay free on the decode engine for requests that can meet their target
+     * @param yields whether room must stay free on the decode engine for other requests
      */
-    Choice choose(FairQueue.Item item, int headroom, Set<DecodeLedger> kept, long nowMillis) {
-        DecodeLedger decode = roomiest(item.pieces() + headroom, kept, nowMillis);
+    Choice choose(FairQueue.Item item, boolean yields, Set<DecodeLedger> kept, long nowMillis) {
+        DecodeLedger decode = roomiest(item.pieces() + (yields ? settings.headroomPieces() : 0), kept, nowMillis);
         if (decode != null) {
             return withPrefill(decode, item.request(), nowMillis);
         }
-        if (headroom > 0) {
+        if (yields) {
             return null;
         }
         DecodeLedger toKeep = roomiest(Integer.MIN_VALUE, kept, nowMillis);
@@ -122,7 +130,7 @@
                 && board.usable(nowMillis, settings.reportStaleMillis());
     }
 
-    /** Gives the next time at which a prefill engine can take work without a further event, or {@code Long.MAX_VALUE}. */
+    /** Gives when a prefill engine can take work without a further event, or {@code Long.MAX_VALUE}. */
     long nextPrefillAtMillis(long nowMillis) {
         long next = Long.MAX_VALUE;
         for (PrefillBoard board : prefills.values()) {
--- a/guavathread-core/src/main/java/org/guavathread/core/placement/FairQueue.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/FairQueue.java
@@ -154,6 +154,10 @@
         return flow == null ? 0 : flow.size();
     }
 
+    Set<WorkspaceId> workspaces() {
+        return flows.keySet();
+    }
+
     boolean contains(RequestId request) {
         return items.containsKey(request);
     }
@@ -317,7 +321,7 @@
                 .orElse(virtualTime);
     }
 
-    private double weightOf(WorkspaceId workspace) {
+    double weightOf(WorkspaceId workspace) {
         return weights.getOrDefault(workspace, 1.0);
     }
 
--- a/guavathread-core/src/main/java/org/guavathread/core/placement/PlacementCell.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/PlacementCell.java
@@ -32,6 +32,7 @@
     private final EndedRequests ended = new EndedRequests();
     private final EnginePool engines;
     private final FairQueue queue;
+    private final WorkspaceUse use = new WorkspaceUse();
     private final Map<RequestId, Reservation> reservations = new LinkedHashMap<>();
     private final ExpiryQueue expiries = new ExpiryQueue();
     private final GrantPace pace = new GrantPace();
@@ -352,8 +353,8 @@
         Set<DecodeLedger> kept = new HashSet<>();
         FairQueue.Item next = queue.peek(nowMillis);
         while (next != null && engines.prefillFree(nowMillis)) {
-            int headroom = next.isLate() ? settings.headroomPieces() : 0;
-            EnginePool.Choice choice = engines.choose(next, headroom, kept, nowMillis);
+            boolean yields = next.isLate() || use.farAboveShare(next, engines.usableMemory(nowMillis), queue);
+            EnginePool.Choice choice = engines.choose(next, yields, kept, nowMillis);
             if (choice == null) {
                 blocked.add(next.request().workspace());
             } else {
@@ -376,8 +377,7 @@
                 .granted(item, prefill)
                 .deadline(nowMillis + settings.reservationMillis());
         queue.take(item);
-        reservations.put(request.request(), reservation);
-        expiries.add(reservation);
+        addReservation(reservation);
         choice.decode().reserve(reservation);
         choice.prefill().start(request.request(), choice.uncachedTokens(), nowMillis);
         choice.decode().linkBusyUntilMillis(choice.transferEndMillis());
@@ -386,6 +386,12 @@
         actions.add(grantReply(reservation));
     }
 
+    private void addReservation(Reservation reservation) {
+        reservations.put(reservation.request(), reservation);
+        expiries.add(reservation);
+        use.add(reservation.workspace(), reservation.grantedPieces());
+    }
+
     private PlacementAction grantReply(Reservation held) {
         Grant grant = new Grant(held.prefill(), held.decode(), held.pieces(), held.deadlineMillis());
         return new PlacementAction.Reply(held.host(), PlaceReply.granted(held.request(), grant, estimatedWaitMillis()));
@@ -401,8 +407,7 @@
                         nowMillis)
                 .deadline(nowMillis + settings.reservationMillis());
         queue.remove(running.request());
-        reservations.put(running.request(), reservation);
-        expiries.add(reservation);
+        addReservation(reservation);
         ledger.adopt(reservation);
     }
 
@@ -452,6 +457,7 @@
 
     private void end(Reservation reservation, long nowMillis) {
         reservations.remove(reservation.request());
+        use.add(reservation.workspace(), -reservation.grantedPieces());
         ended.add(reservation.request(), nowMillis);
         DecodeLedger ledger = engines.decode(reservation.decode());
         if (ledger != null) {
@@ -468,11 +474,7 @@
         while (first != null && first.refuseAtMillis() <= nowMillis) {
             PlaceRequest request = first.request();
             queue.remove(request.request());
-            boolean deferrable = request.kind().priorityClass() > 0;
-            refuse(
-                    request,
-                    deferrable ? PlacementRefusals.deadlinePassed() : PlacementRefusals.tooLate(estimatedWaitMillis()),
-                    actions);
+            refuse(request, PlacementRefusals.overdue(request.kind(), estimatedWaitMillis()), actions);
             first = queue.firstToRefuse();
         }
     }
--- a/guavathread-core/src/main/java/org/guavathread/core/placement/PlacementRefusals.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/PlacementRefusals.java
@@ -3,6 +3,7 @@
 import org.guavathread.core.id.WorkspaceId;
 import org.guavathread.core.request.Refusal;
 import org.guavathread.core.request.RefusalCode;
+import org.guavathread.core.request.RequestKind;
 
 /** Words the refusals of a cell. All are {@code not_run}, because nothing was dispatched. */
 final class PlacementRefusals {
@@ -25,7 +26,10 @@
                 .retryAfter(Math.max(MIN_RETRY_MILLIS, waitMillis));
     }
 
-    static Refusal deadlinePassed() {
+    static Refusal overdue(RequestKind kind, long waitMillis) {
+        if (kind.priorityClass() == 0) {
+            return tooLate(waitMillis);
+        }
         return Refusal.notRun(RefusalCode.DEADLINE, "The deadline passed while the request waited for an engine.");
     }
 
--- a/guavathread-core/src/main/java/org/guavathread/core/placement/PlacementSettings.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/PlacementSettings.java
@@ -34,7 +34,8 @@
             30, // start value; the cell learns the rate of each engine
             16_000, // about eight requests; bounds how far priority may move a workspace ahead of its fair share
             5, // late requests advance under overload, at a cost of one grant in twenty
-            4); // late requests leave room for nearly any request that can still meet its target
+            4); // late requests and workspaces far above their share leave room for nearly any request that can still
+    // meet its target
 
     /** Copies with another size of a piece, in tokens. */
     public PlacementSettings withTokensPerPiece(int value) {
--- a/guavathread-core/src/main/java/org/guavathread/core/placement/Reservation.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/Reservation.java
@@ -16,6 +16,7 @@
     private final WorkspaceId workspace;
     private final BackendServerId decode;
     private final long reservedAtMillis;
+    private final int grantedPieces;
     private int pieces;
     private long deadlineMillis;
     private BackendServerId prefill;
@@ -36,6 +37,7 @@
         this.workspace = workspace;
         this.decode = decode;
         this.pieces = pieces;
+        grantedPieces = pieces;
         this.reservedAtMillis = reservedAtMillis;
     }
 
@@ -105,6 +107,11 @@
         return pieces;
     }
 
+    /** Gives the pieces before any growth. */
+    int grantedPieces() {
+        return grantedPieces;
+    }
+
     long reservedAtMillis() {
         return reservedAtMillis;
     }
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/placement/WorkspaceUse.java
@@ -0,0 +1,38 @@
+package org.guavathread.core.placement;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+import org.guavathread.core.id.WorkspaceId;
+
+/** Decode memory that each workspace holds, compared with its share by weight among those that hold or wait. */
+final class WorkspaceUse {
+
+    /**
+     * A workspace is far above its share from one and a half times the share plus these pieces. At its share alone the
+     * limit held small workspaces back at full load, because they exceed it by chance.
+     */
+    private static final int SLACK_PIECES = 8;
+
+    private static final double SLACK_FACTOR = 1.5;
+
+    private final Map<WorkspaceId, Integer> pieces = new HashMap<>();
+
+    void add(WorkspaceId workspace, int count) {
+        pieces.merge(workspace, count, (a, b) -> a + b == 0 ? null : a + b);
+    }
+
+    /** Tells whether a workspace would hold far more than its share of the memory with a request. */
+    boolean farAboveShare(FairQueue.Item item, int memoryPieces, FairQueue queue) {
+        WorkspaceId workspace = item.request().workspace();
+        Set<WorkspaceId> active = new HashSet<>(pieces.keySet());
+        active.addAll(queue.workspaces());
+        active.add(workspace);
+        double weights = active.stream().mapToDouble(queue::weightOf).sum();
+        double share = memoryPieces * queue.weightOf(workspace) / weights;
+        int held = pieces.getOrDefault(workspace, 0) + item.pieces();
+        return active.size() > 1 && held > SLACK_FACTOR * share + SLACK_PIECES;
+    }
+}
