Date requests back that waited in the socket of a paused host

Cause: a request that is read after a pause was stamped with the time after it, so it could run after another host had told its caller that nothing runs. A claim granted again after an epoch change would also have charged its budget twice. Change: a pause detector dates such requests back to the last moment before the pause; the charge of a claimed call is taken once; calls whose caller is gone are withdrawn; coordinators look at a new epoch at once.

--- a/guavathread-router/src/main/java/org/guavathread/router/Daemon.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/Daemon.java
@@ -20,6 +20,7 @@
 import org.guavathread.router.backend.HttpWeightStore;
 import org.guavathread.router.backend.Owner;
 import org.guavathread.router.caller.CallerServer;
+import org.guavathread.router.caller.PauseDetector;
 import org.guavathread.router.caller.RequestIds;
 import org.guavathread.router.fleet.FleetState;
 import org.guavathread.router.fleet.MembershipService;
@@ -154,23 +155,7 @@
                 clock);
         fleet.onSheet(this::sheetChanged);
 
-        callerSupervisor.add(new CallerServer(
-                settings.listenCallers(), new RequestIds(self, incarnation), clock, requestRouter(settings)::route));
-        AdminPages pages = new AdminPages(
-                settings,
-                incarnation,
-                fleet,
-                membership,
-                configuration,
-                placement,
-                active,
-                usage,
-                drain,
-                metrics,
-                clock);
-        pages.registerGauges(backlogs());
-        callerSupervisor.add(new AdminServer(settings.listenAdmin(), metrics, pages.pages()));
-
+        addServers(callerSupervisor, settings, incarnation);
         root.add(peerSupervisor);
         root.add(platformSupervisor);
         root.add(backendSupervisor);
@@ -220,6 +205,30 @@
         return configuration.isServing() && !drain.isDraining();
     }
 
+    private void addServers(Supervisor callerSupervisor, DaemonSettings settings, Incarnation incarnation) {
+        PauseDetector pauses = callerSupervisor.add(new PauseDetector(clock));
+        callerSupervisor.add(new CallerServer(
+                settings.listenCallers(),
+                new RequestIds(self, incarnation),
+                clock,
+                pauses,
+                requestRouter(settings)::route));
+        AdminPages pages = new AdminPages(
+                settings,
+                incarnation,
+                fleet,
+                membership,
+                configuration,
+                placement,
+                active,
+                usage,
+                drain,
+                metrics,
+                clock);
+        pages.registerGauges(backlogs());
+        callerSupervisor.add(new AdminServer(settings.listenAdmin(), metrics, pages.pages()));
+    }
+
     private void registerMessages(PeerRouter router) {
         membership.exchange(configuration::serviceContact, configuration::peerReported);
         membership.register(router);
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/CallerExchange.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/CallerExchange.java
@@ -20,7 +20,7 @@
     RequestId id();
 
     /**
-     * Gives when the request had arrived.
+     * Gives a time at which the request had certainly not arrived later, also if the process was paused meanwhile.
      *
      * @return milliseconds since the epoch
      */
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/CallerServer.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/CallerServer.java
@@ -41,6 +41,7 @@
     private final SocketAddressText listen;
     private final RequestIds ids;
     private final Clock clock;
+    private final PauseDetector pauses;
     private final Consumer<CallerExchange> handler;
     private final HttpServer server = new HttpServer();
     private final ConnectionGuard guard;
@@ -54,12 +55,19 @@
      * @param listen where to listen
      * @param ids makes request ids
      * @param clock source of the time
+     * @param pauses dates requests back that waited during a pause
      * @param handler takes each complete request, on a network thread; must not block
      */
-    public CallerServer(SocketAddressText listen, RequestIds ids, Clock clock, Consumer<CallerExchange> handler) {
+    public CallerServer(
+            SocketAddressText listen,
+            RequestIds ids,
+            Clock clock,
+            PauseDetector pauses,
+            Consumer<CallerExchange> handler) {
         this.listen = listen;
         this.ids = ids;
         this.clock = clock;
+        this.pauses = pauses;
         this.handler = handler;
         this.guard = new ConnectionGuard(clock);
     }
@@ -133,6 +141,7 @@
         private final Response response;
         private final NIOInputStream in;
         private final long deadlineMillis = clock.nowMillis() + CallerLimits.RECEIVE_DEADLINE_MILLIS;
+        private final long arrivedAtMillis = pauses.arrivalMillis();
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
         BodyReader(Request request, Response response) {
@@ -157,8 +166,8 @@
             if (body.size() > CallerLimits.MAX_BODY_BYTES) {
                 refuseTooLarge();
             } else if (receiving.remove(this) != null) {
-                GrizzlyExchange exchange =
-                        new GrizzlyExchange(ids.next(), request, response, body.toByteArray(), guard, clock);
+                GrizzlyExchange exchange = new GrizzlyExchange(
+                        ids.next(), request, response, body.toByteArray(), guard, arrivedAtMillis, clock);
                 guard.serving(request.getRequest().getConnection());
                 handler.accept(exchange);
             }
@@ -189,7 +198,8 @@
         }
 
         private void refuseAndClose(Refusal refusal) {
-            GrizzlyExchange exchange = new GrizzlyExchange(ids.next(), request, response, new byte[0], guard, clock);
+            GrizzlyExchange exchange =
+                    new GrizzlyExchange(ids.next(), request, response, new byte[0], guard, arrivedAtMillis, clock);
             exchange.closeAfterAnswer();
             exchange.refuse(refusal);
         }
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/GrizzlyExchange.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/GrizzlyExchange.java
@@ -37,14 +37,21 @@
     private boolean closeAfterAnswer;
     private volatile boolean complete;
 
-    GrizzlyExchange(RequestId id, Request request, Response response, byte[] body, ConnectionGuard guard, Clock clock) {
+    GrizzlyExchange(
+            RequestId id,
+            Request request,
+            Response response,
+            byte[] body,
+            ConnectionGuard guard,
+            long arrivedAtMillis,
+            Clock clock) {
         this.id = id;
         this.request = request;
         this.response = response;
         this.body = body;
         this.guard = guard;
         this.clock = clock;
-        this.arrivedAtMillis = clock.nowMillis();
+        this.arrivedAtMillis = arrivedAtMillis;
         request.getRequest().getConnection().addCloseListener(closeListener);
     }
 
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/PauseDetector.java
@@ -0,0 +1,87 @@
+package org.guavathread.router.caller;
+
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.guavathread.core.time.Clock;
+import org.guavathread.router.supervisor.Supervised;
+
+/**
+ * Notices that the process was paused. A request that is read after a pause may have waited in the socket since before
+ * it, so its arrival is dated back to the last moment before the pause; otherwise it could run after another host told
+ * its caller that nothing runs.
+ */
+public final class PauseDetector implements Supervised {
+
+    private static final long TICK_MILLIS = 50;
+
+    /** Longer than ordinary scheduling delays; a shorter pause is within the clock difference that claims allow for. */
+    private static final long PAUSE_MILLIS = 300;
+
+    /** Bytes that waited in sockets during a pause are read within this time after it. */
+    private static final long BACKLOG_MILLIS = 1_000;
+
+    private final Clock clock;
+    private final ScheduledExecutorService ticks = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "pause-detector");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private long lastTickMillis;
+    private long pauseStartMillis;
+    private long backlogUntilMillis;
+
+    /**
+     * Builds the detector.
+     *
+     * @param clock source of the time
+     */
+    public PauseDetector(Clock clock) {
+        this.clock = clock;
+        this.lastTickMillis = clock.nowMillis();
+    }
+
+    @Override
+    public String name() {
+        return "pause-detector";
+    }
+
+    @Override
+    public void start() {
+        ticks.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void stop() {
+        ticks.shutdownNow();
+    }
+
+    /**
+     * Gives a time at which a request that is read now had certainly not arrived later.
+     *
+     * @return milliseconds since the epoch
+     */
+    public synchronized long arrivalMillis() {
+        long now = clock.nowMillis();
+        notice(now);
+        return now < backlogUntilMillis ? pauseStartMillis : now;
+    }
+
+    synchronized void tick() {
+        long now = clock.nowMillis();
+        notice(now);
+        lastTickMillis = now;
+    }
+
+    private void notice(long nowMillis) {
+        if (nowMillis - lastTickMillis < PAUSE_MILLIS) {
+            return;
+        }
+        if (nowMillis >= backlogUntilMillis) {
+            pauseStartMillis = lastTickMillis;
+        }
+        backlogUntilMillis = nowMillis + BACKLOG_MILLIS;
+        lastTickMillis = nowMillis;
+    }
+}
--- a/guavathread-router/src/main/java/org/guavathread/router/flow/PlainFlow.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/PlainFlow.java
@@ -266,6 +266,7 @@
         private final RequestContext context;
         private final Set<BackendServerId> tried = new HashSet<>();
         private volatile Map<String, String> answerHeaders;
+        private CompletableFuture<Void> admission;
 
         Work(RequestContext context) {
             this.context = context;
@@ -274,7 +275,14 @@
         @Override
         public void granted(ClaimService.Handle handle) {
             context.trace("claim granted");
-            admit(context).whenComplete((done, failure) -> {
+            if (context.exchange().isFinished()) {
+                handle.withdraw(context.deadlinePassed());
+                return;
+            }
+            if (admission == null) {
+                admission = admit(context);
+            }
+            admission.whenComplete((done, failure) -> {
                 if (failure != null) {
                     handle.withdraw(Failures.beforeDispatch(failure));
                 } else {
--- a/guavathread-router/src/main/java/org/guavathread/router/service/ClaimService.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/service/ClaimService.java
@@ -20,6 +20,7 @@
 import org.guavathread.core.claim.ClaimSettings;
 import org.guavathread.core.claim.ClaimVoter;
 import org.guavathread.core.claim.OutcomeQuery;
+import org.guavathread.core.id.HostEpoch;
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.id.Incarnation;
 import org.guavathread.core.membership.EpochView;
@@ -58,7 +59,7 @@
 
         /**
          * The claim is granted. The work takes its budget and then calls {@link Handle#dispatch} or
-         * {@link Handle#withdraw}.
+         * {@link Handle#withdraw}. Called again if a new host epoch required another vote before the dispatch.
          *
          * @param handle the way back
          */
@@ -125,6 +126,7 @@
 
     private final class State {
         private final AttemptIds ids = new AttemptIds(self, incarnation, random);
+        private HostEpoch epoch = HostEpoch.NONE;
         private ClaimSettings settings;
         private ClaimVoter voter;
         private AttemptLog log;
@@ -262,8 +264,11 @@
 
     private void tick(State state, long nowMillis) {
         state.voter.observe(view(), nowMillis);
+        HostEpoch epoch = view().current().epoch();
+        boolean newEpoch = !epoch.equals(state.epoch);
+        state.epoch = epoch;
         for (Map.Entry<Long, Attempt> entry : List.copyOf(state.attempts.entrySet())) {
-            if (nowMillis >= entry.getValue().wakeAtMillis) {
+            if (newEpoch || nowMillis >= entry.getValue().wakeAtMillis) {
                 perform(state, entry.getKey(), entry.getValue().coordinator.timer(view(), nowMillis));
             }
         }
--- a/guavathread-router/src/test/java/org/guavathread/router/caller/CallerServerTest.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/caller/CallerServerTest.java
@@ -41,7 +41,8 @@
             address = new SocketAddressText("127.0.0.1", free.getLocalPort());
         }
         RequestIds ids = new RequestIds(new HostId("h1"), new Incarnation(1));
-        server = new CallerServer(address, ids, System::currentTimeMillis, this::handle);
+        server = new CallerServer(
+                address, ids, System::currentTimeMillis, new PauseDetector(System::currentTimeMillis), this::handle);
         server.start();
     }
 
