--- a/guavathread-bench/src/test/java/org/guavathread/bench/configuration/ConfigurationProperties.java
+++ b/guavathread-bench/src/test/java/org/guavathread/bench/configuration/ConfigurationProperties.java
@@ -103,13 +103,13 @@
         assertTrue(calls <= 12 + 4 * Math.sqrt(hosts), calls + " calls a second by " + hosts + " hosts");
     }
 
-    /** Each of 150 hosts asks a few others, so that the one that kept version 2 is found only through the others. */
+    /** Each of 100 hosts asks a few others, so that the one that kept version 2 is found only through the others. */
     @Test
     void oneSurvivorAmongManyRestartedHostsIsFound() {
-        FleetSimulator fleet = started(1, 150, new Random(1));
-        fleet.publish(sheet(2, 150, new Random(2))).run(3_000);
+        FleetSimulator fleet = started(1, 100, new Random(1));
+        fleet.publish(sheet(2, 100, new Random(2))).run(3_000);
         fleet.service().staleFor(h -> true, 1);
-        for (int i = 1; i < 150; i++) {
+        for (int i = 1; i < 100; i++) {
             fleet.start(GeneratedSheets.host(i));
         }
         fleet.run(5_000);
