Add the operators' client with sheet and fleet commands

Cause: operators had only the raw admin pages, and no way to check a sheet before they publish it. Change: guavathread-cli has `sheet check`, `sheet diff`, `sheet hash-key`, `status`, `workspaces`, `backends`, `audit` and `explain`, each with its own help. Hosts are asked in parallel; one that does not answer within 2 s is listed and the exit code is 3. The parser of settings reads inherited fields, because these commands share their options; NearestName is public for suggestions of commands. Conclusion: the tests of the module and of the modules below it pass.

--- /dev/null
+++ b/guavathread-cli/src/main/java/org/guavathread/cli/CommandLine.java
@@ -0,0 +1,179 @@
+package org.guavathread.cli;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+
+import org.guavathread.core.sheet.NearestName;
+import org.guavathread.router.settings.SettingException;
+import org.guavathread.router.settings.SettingsParser;
+import org.kohsuke.args4j.Option;
+
+/**
+ * Finds the command that the arguments name, fills it and runs it.
+ *
+ * <pre>{@code
+ * ExitCode code = new CommandLine("guavathread", "0.1.0", Terminal.system())
+ *         .add(StatusCommand::new)
+ *         .run(arguments);
+ * }</pre>
+ */
+public final class CommandLine {
+
+    private static final List<String> HELP_FLAGS = List.of("--help", "-h");
+
+    private final String program;
+    private final String version;
+    private final Terminal terminal;
+    private final Map<String, String> environment;
+    private final Map<String, Supplier<Command>> commands = new LinkedHashMap<>();
+
+    /**
+     * Starts without commands.
+     *
+     * @param program name of the program
+     * @param version printed by {@code --version}
+     * @param terminal where to read and write
+     * @param environment environment variables that stand in for options
+     */
+    public CommandLine(String program, String version, Terminal terminal, Map<String, String> environment) {
+        this.program = program;
+        this.version = version;
+        this.terminal = terminal;
+        this.environment = Map.copyOf(environment);
+    }
+
+    /** A command object together with the option that every command has. */
+    private static final class HelpFlag {
+
+        @Option(name = "--help", help = true, usage = "print this help and exit")
+        private boolean help;
+    }
+
+    /**
+     * Adds a command.
+     *
+     * @param command builds the command; its class carries {@link CommandSpec}
+     * @return this command line
+     */
+    public CommandLine add(Supplier<Command> command) {
+        commands.put(specOf(command.get()).name(), command);
+        return this;
+    }
+
+    /**
+     * Runs the command that the arguments name.
+     *
+     * @param arguments the command line without the program
+     * @return how it ended; messages are written already
+     */
+    public ExitCode run(String... arguments) {
+        if (arguments.length == 0) {
+            help().printProgram(terminal.err(), specs());
+            return ExitCode.USAGE;
+        }
+        if (HELP_FLAGS.contains(arguments[0])) {
+            help().printProgram(terminal.out(), specs());
+            return ExitCode.OK;
+        }
+        if ("--version".equals(arguments[0])) {
+            terminal.out().println(program + " " + version);
+            return ExitCode.OK;
+        }
+        try {
+            return runCommand(arguments);
+        } catch (UsageException | SettingException e) {
+            terminal.err().println(program + ": " + e.getMessage());
+            return ExitCode.USAGE;
+        }
+    }
+
+    private ExitCode runCommand(String[] arguments) {
+        List<CommandSpec> group = group(arguments[0]);
+        if (!group.isEmpty()) {
+            return runOfGroup(arguments, group);
+        }
+        Supplier<Command> command = commands.get(arguments[0]);
+        if (command == null) {
+            throw unknown(arguments[0], firstWords());
+        }
+        return runOne(command.get(), Arrays.copyOfRange(arguments, 1, arguments.length));
+    }
+
+    private ExitCode runOfGroup(String[] arguments, List<CommandSpec> group) {
+        if (arguments.length == 1) {
+            help().printGroup(terminal.err(), arguments[0], group);
+            return ExitCode.USAGE;
+        }
+        if (HELP_FLAGS.contains(arguments[1])) {
+            help().printGroup(terminal.out(), arguments[0], group);
+            return ExitCode.OK;
+        }
+        Supplier<Command> command = commands.get(arguments[0] + " " + arguments[1]);
+        if (command == null) {
+            List<String> names = group.stream().map(CommandSpec::name).toList();
+            throw unknown(arguments[0] + " " + arguments[1], names);
+        }
+        return runOne(command.get(), Arrays.copyOfRange(arguments, 2, arguments.length));
+    }
+
+    private ExitCode runOne(Command command, String[] arguments) {
+        if (Arrays.stream(arguments).anyMatch(HELP_FLAGS::contains)) {
+            help().printCommand(terminal.out(), specOf(command), command, new HelpFlag());
+            return ExitCode.OK;
+        }
+        try {
+            SettingsParser.parse(command, arguments, environment);
+        } catch (SettingException e) {
+            String name = specOf(command).name();
+            String seeHelp = "see `" + program + " " + name + " --help`.";
+            throw new UsageException(
+                    command.quotesArguments()
+                            ? name + ": " + e.getMessage().replace("see --help.", seeHelp)
+                            : name + ": an argument is not allowed here (it is not shown, since it may be secret); "
+                                    + seeHelp);
+        }
+        return command.run(terminal);
+    }
+
+    private UsageException unknown(String written, List<String> known) {
+        String suggestion = NearestName.suggestion(written, known);
+        return new UsageException("There is no command \"" + written + "\""
+                + (suggestion.isEmpty() ? "; the commands are " + String.join(", ", known) + "." : suggestion)
+                + " See `" + program + " --help`.");
+    }
+
+    private List<CommandSpec> group(String word) {
+        return specs().stream()
+                .filter(spec -> spec.name().startsWith(word + " "))
+                .toList();
+    }
+
+    private List<String> firstWords() {
+        return commands.keySet().stream()
+                .map(name -> name.split(" ")[0])
+                .distinct()
+                .toList();
+    }
+
+    private List<CommandSpec> specs() {
+        List<CommandSpec> specs = new ArrayList<>();
+        commands.values().forEach(command -> specs.add(specOf(command.get())));
+        return specs;
+    }
+
+    private Help help() {
+        return new Help(program, terminal);
+    }
+
+    private static CommandSpec specOf(Command command) {
+        CommandSpec spec = command.getClass().getAnnotation(CommandSpec.class);
+        if (spec == null) {
+            throw new IllegalArgumentException(command.getClass() + " lacks @CommandSpec; add the annotation.");
+        }
+        return spec;
+    }
+}
--- /dev/null
+++ b/guavathread-cli/src/main/java/org/guavathread/cli/Help.java
@@ -0,0 +1,122 @@
+package org.guavathread.cli;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+import org.guavathread.cli.Terminal.Style;
+import org.guavathread.router.settings.SettingsParser;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.OptionDef;
+import org.kohsuke.args4j.ParserProperties;
+import org.kohsuke.args4j.spi.OptionHandler;
+
+/** Writes the help of the program, of a group of commands and of one command. */
+final class Help {
+
+    private final String program;
+    private final Terminal terminal;
+
+    Help(String program, Terminal terminal) {
+        this.program = program;
+        this.terminal = terminal;
+    }
+
+    private record Line(String left, String right) {}
+
+    void printProgram(PrintStream out, List<CommandSpec> specs) {
+        heading(out, "Usage");
+        out.println("  " + program + " COMMAND [OPTION...]");
+        out.println("  " + program + " COMMAND --help");
+        out.println("  " + program + " --version");
+        out.println();
+        out.println("Reads the state of a guavathread fleet, checks sheets and runs the demo. It changes nothing.");
+        out.println();
+        heading(out, "Commands");
+        printCommands(out, specs);
+        out.println();
+        heading(out, "Options");
+        printLines(
+                out,
+                List.of(
+                        new Line("--help", "print this help and exit"),
+                        new Line("--version", "print the version and exit")));
+        out.println();
+        printExitCodes(out, ExitCode.values());
+        out.println();
+        heading(out, "Example");
+        out.println("  " + program + " status --admin 127.0.0.1:8082");
+    }
+
+    void printGroup(PrintStream out, String group, List<CommandSpec> specs) {
+        heading(out, "Usage");
+        specs.forEach(spec -> out.println("  " + program + " " + spec.name() + " " + spec.synopsis()));
+        out.println();
+        heading(out, "Commands");
+        printCommands(out, specs);
+        out.println();
+        out.println("`" + program + " " + group + " COMMAND --help` explains one of them.");
+    }
+
+    void printCommand(PrintStream out, CommandSpec spec, Object command, Object common) {
+        heading(out, "Usage");
+        out.println("  " + program + " " + spec.name() + " " + spec.synopsis());
+        out.println();
+        out.println(spec.summary());
+        Arrays.stream(spec.details()).forEach(out::println);
+        out.println();
+        heading(out, "Options");
+        List<Line> lines = new ArrayList<>(linesOf(command));
+        lines.addAll(linesOf(common));
+        printLines(out, lines);
+        out.println();
+        printExitCodes(out, spec.exitCodes());
+        out.println();
+        heading(out, "Example");
+        out.println("  " + spec.example());
+    }
+
+    private static List<Line> linesOf(Object bean) {
+        CmdLineParser parser = SettingsParser.parserOf(bean);
+        List<Line> lines = new ArrayList<>();
+        for (OptionHandler<?> handler : parser.getArguments()) {
+            lines.add(new Line(handler.option.metaVar(), usageOf(handler)));
+        }
+        for (OptionHandler<?> handler : parser.getOptions()) {
+            lines.add(new Line(handler.getNameAndMeta(null, ParserProperties.defaults()), usageOf(handler)));
+        }
+        return lines;
+    }
+
+    private static String usageOf(OptionHandler<?> handler) {
+        OptionDef option = handler.option;
+        String standard = option.help() || option.isArgument() ? "" : handler.printDefaultValue();
+        if (standard == null || standard.isEmpty() || "[]".equals(standard) || "null".equals(standard)) {
+            return option.usage();
+        }
+        return option.usage() + " (default: " + ("false".equals(standard) ? "off" : standard) + ")";
+    }
+
+    private void printCommands(PrintStream out, List<CommandSpec> specs) {
+        printLines(
+                out,
+                specs.stream()
+                        .map(spec -> new Line(spec.name(), spec.summary()))
+                        .toList());
+    }
+
+    private static void printLines(PrintStream out, List<Line> lines) {
+        int width = lines.stream().mapToInt(line -> line.left().length()).max().orElse(1);
+        lines.forEach(line -> out.printf("  %-" + width + "s  %s%n", line.left(), line.right()));
+    }
+
+    private void printExitCodes(PrintStream out, ExitCode... codes) {
+        heading(out, "Exit codes");
+        Arrays.stream(codes).forEach(code -> out.println("  " + code.code() + "  " + code.meaning()));
+    }
+
+    private void heading(PrintStream out, String text) {
+        out.println(terminal.styled(Style.BOLD, text + ":"));
+    }
+}
--- /dev/null
+++ b/guavathread-cli/src/main/java/org/guavathread/cli/fleet/AdminClient.java
@@ -0,0 +1,80 @@
+package org.guavathread.cli.fleet;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpTimeoutException;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import org.guavathread.core.sheet.SocketAddressText;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/**
+ * Asks the admin ports of several hosts at the same time.
+ *
+ * <pre>{@code
+ * List<HostAnswer> answers = new AdminClient().ask(addresses, "/status");
+ * }</pre>
+ */
+final class AdminClient {
+
+    /** A healthy host answers in milliseconds; its pages give up on a slow duty after the same time. */
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+    private static final int STATUS_OK = 200;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final HttpClient http = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(TIMEOUT)
+            .build();
+
+    List<HostAnswer> ask(List<SocketAddressText> addresses, String pathAndQuery) {
+        List<CompletableFuture<HostAnswer>> calls =
+                addresses.stream().map(address -> askOne(address, pathAndQuery)).toList();
+        return calls.stream().map(CompletableFuture::join).toList();
+    }
+
+    /** The limit on the future also covers an answer whose body never ends, unlike the limit on the request. */
+    private CompletableFuture<HostAnswer> askOne(SocketAddressText address, String pathAndQuery) {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + pathAndQuery))
+                .timeout(TIMEOUT)
+                .build();
+        return http.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray())
+                .orTimeout(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                .thenApply(answer -> parsed(address, answer))
+                .exceptionally(failure -> HostAnswer.failed(address, reasonOf(failure)));
+    }
+
+    private static HostAnswer parsed(SocketAddressText address, HttpResponse<byte[]> answer) {
+        if (answer.statusCode() != STATUS_OK) {
+            return HostAnswer.failed(address, "answered with status " + answer.statusCode());
+        }
+        try {
+            return HostAnswer.of(address, JSON.readTree(answer.body()));
+        } catch (JsonProcessingException e) {
+            return HostAnswer.failed(address, "answered with something that is not JSON; is this an admin port?");
+        } catch (IOException e) {
+            return HostAnswer.failed(address, "answered with something that cannot be read");
+        }
+    }
+
+    private static String reasonOf(Throwable failure) {
+        Throwable cause =
+                failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+        if (cause instanceof TimeoutException || cause instanceof HttpTimeoutException) {
+            return "no answer within " + TIMEOUT.toSeconds() + " s";
+        }
+        String message = cause.getMessage() == null ? cause.getClass().getSimpleName() : cause.getMessage();
+        return "no connection (" + message + ")";
+    }
+}
--- /dev/null
+++ b/guavathread-cli/src/main/java/org/guavathread/cli/fleet/FleetCommand.java
@@ -0,0 +1,110 @@
+package org.guavathread.cli.fleet;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+import org.guavathread.cli.Command;
+import org.guavathread.cli.ExitCode;
+import org.guavathread.cli.Terminal;
+import org.guavathread.cli.Terminal.Style;
+import org.guavathread.cli.UsageException;
+import org.guavathread.cli.sheet.SheetFiles;
+import org.guavathread.core.sheet.Host;
+import org.guavathread.core.sheet.SocketAddressText;
+import org.kohsuke.args4j.Option;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** A command that asks the same page of the admin port of several hosts. */
+abstract class FleetCommand implements Command {
+
+    /** Shared lines of the help. */
+    static final String HOSTS_DETAIL = "The hosts are those given with --admin or, without it, all hosts of the sheet.";
+
+    /** Shared lines of the help. */
+    static final String JSON_DETAIL = "A table is printed on a terminal, JSON elsewhere or with --json.";
+
+    static final ObjectMapper JSON = new ObjectMapper();
+
+    @Option(
+            name = "--admin",
+            metaVar = "IP:PORT",
+            usage = "admin address of a host; may be given several times, or with commas")
+    private List<String> admin = new ArrayList<>();
+
+    @Option(name = "--sheet", metaVar = "FILE", usage = "sheet that names the hosts; not read if --admin is given")
+    private String sheet;
+
+    @Option(name = "--json", usage = "print JSON on a terminal, too")
+    private boolean json;
+
+    /** Names the page, with its query. */
+    abstract String page();
+
+    /** Adds what follows from the answers to the JSON output. */
+    abstract void writeJson(List<HostAnswer> answered, ObjectNode root);
+
+    /** Prints the answers for a person. */
+    abstract void print(List<HostAnswer> answered, Terminal terminal);
+
+    /** Says whether the answers mean yes; used if all hosts answered. */
+    ExitCode verdict(List<HostAnswer> answered) {
+        return ExitCode.OK;
+    }
+
+    @Override
+    public final ExitCode run(Terminal terminal) {
+        String page = page();
+        List<HostAnswer> answers = new AdminClient().ask(addresses(), page);
+        List<HostAnswer> answered =
+                answers.stream().filter(HostAnswer::isAnswered).toList();
+        List<HostAnswer> silent = answers.stream().filter(a -> !a.isAnswered()).toList();
+        if (json || !terminal.isInteractive()) {
+            terminal.out().println(jsonOf(answered, silent).toPrettyString());
+        } else {
+            if (!answered.isEmpty()) {
+                print(answered, terminal);
+            }
+            silent.forEach(
+                    host -> terminal.out().println(terminal.styled(Style.BAD, host.address() + ": " + host.failure())));
+        }
+        return silent.isEmpty() ? verdict(answered) : ExitCode.UNREACHABLE;
+    }
+
+    private ObjectNode jsonOf(List<HostAnswer> answered, List<HostAnswer> silent) {
+        ObjectNode root = JSON.createObjectNode();
+        writeJson(answered, root);
+        ArrayNode list = root.putArray("notAnswered");
+        silent.forEach(host ->
+                list.addObject().put("address", host.address().toString()).put("reason", host.failure()));
+        return root;
+    }
+
+    private List<SocketAddressText> addresses() {
+        if (!admin.isEmpty()) {
+            return admin.stream()
+                    .flatMap(text -> Arrays.stream(text.split(",")))
+                    .map(FleetCommand::address)
+                    .distinct()
+                    .toList();
+        }
+        if (sheet != null) {
+            return SheetFiles.sheet(sheet).hosts().values().stream()
+                    .map(Host::admin)
+                    .toList();
+        }
+        throw new UsageException("No host is named; give --admin IP:PORT, once or several times, or --sheet FILE.");
+    }
+
+    private static SocketAddressText address(String text) {
+        try {
+            return SocketAddressText.parse(text.strip());
+        } catch (IllegalArgumentException e) {
+            throw new UsageException(
+                    "--admin is \"" + text + "\"; write IP:port of an admin port, for example 127.0.0.1:8082.");
+        }
+    }
+}
--- /dev/null
+++ b/guavathread-cli/src/main/java/org/guavathread/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' client: command line, help and terminal. */
+package org.guavathread.cli;
--- /dev/null
+++ b/guavathread-cli/src/main/java/org/guavathread/cli/sheet/package-info.java
@@ -0,0 +1,2 @@
+/** Commands that work on files with sheets. */
+package org.guavathread.cli.sheet;
--- a/guavathread-core/src/main/java/org/guavathread/core/sheet/NearestName.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/sheet/NearestName.java
@@ -4,14 +4,21 @@
 import java.util.Comparator;
 
 /** Finds the known name that a mistyped name most likely stands for. */
-final class NearestName {
+public final class NearestName {
 
     /** Two edits cover a transposition, a lost or a doubled letter; more would suggest unrelated short names. */
     private static final int MAX_EDITS = 2;
 
     private NearestName() {}
 
-    static String suggestion(String written, Collection<String> known) {
+    /**
+     * Suggests a known name.
+     *
+     * @param written the name that is not known
+     * @param known the names that are
+     * @return the end of a message, for example {@code ; did you mean "hosts"?}; empty if no known name is close
+     */
+    public static String suggestion(String written, Collection<String> known) {
         return known.stream()
                 .filter(name -> edits(written, name) <= Math.min(MAX_EDITS, name.length() / 2))
                 .min(Comparator.<String>comparingInt(name -> edits(written, name))
--- a/guavathread-router/src/main/java/org/guavathread/router/settings/SettingsParser.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/settings/SettingsParser.java
@@ -73,7 +73,7 @@
             Object target, String[] arguments, Map<String, String> environment) {
         List<String> derived = new ArrayList<>();
         List<String> given = Arrays.asList(arguments);
-        for (Field field : target.getClass().getDeclaredFields()) {
+        for (Field field : fieldsOf(target.getClass())) {
             Option option = field.getAnnotation(Option.class);
             if (option == null || option.help() || given.contains(option.name())) {
                 continue;
@@ -91,4 +91,13 @@
         }
         return derived;
     }
+
+    /** Includes inherited fields: commands of the client share options through a common superclass. */
+    private static List<Field> fieldsOf(Class<?> type) {
+        List<Field> fields = new ArrayList<>();
+        for (Class<?> each = type; each != null; each = each.getSuperclass()) {
+            fields.addAll(Arrays.asList(each.getDeclaredFields()));
+        }
+        return fields;
+    }
 }
