--- a/guavathread-cli/src/main/java/org/guavathread/cli/Guavathread.java
+++ b/guavathread-cli/src/main/java/org/guavathread/cli/Guavathread.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 
+import org.guavathread.cli.demo.DemoCommand;
 import org.guavathread.cli.fleet.AuditCommand;
 import org.guavathread.cli.fleet.BackendsCommand;
 import org.guavathread.cli.fleet.ExplainCommand;
@@ -51,6 +52,7 @@
                 .add(ExplainCommand::new)
                 .add(CheckCommand::new)
                 .add(DiffCommand::new)
-                .add(HashKeyCommand::new);
+                .add(HashKeyCommand::new)
+                .add(DemoCommand::new);
     }
 }
--- /dev/null
+++ b/guavathread-cli/src/main/java/org/guavathread/cli/demo/BurstScene.java
@@ -0,0 +1,108 @@
+package org.guavathread.cli.demo;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+
+/** One workspace sends five times its rate through all hosts while another one goes on with steady calls. */
+final class BurstScene {
+
+    private static final int SECONDS = 3;
+    private static final int EXCESS = 5;
+    private static final int STEP_MILLIS = 50;
+    private static final int STEPS = SECONDS * 1_000 / STEP_MILLIS;
+
+    /** Every eighth step is 2.5 streams a second; with the lookups they take about a fifth of the rate. */
+    private static final int STEPS_PER_STREAM = 8;
+
+    private static final int MAX_TOKENS = 16;
+
+    private final Stage stage;
+    private final DemoReport report;
+    private final List<CompletableFuture<Reply>> burst = new ArrayList<>();
+    private final List<CompletableFuture<Reply>> steady = new ArrayList<>();
+    private final List<CompletableFuture<StreamReply>> streams = new ArrayList<>();
+
+    BurstScene(Stage stage) {
+        this.stage = stage;
+        this.report = stage.report();
+    }
+
+    void run() {
+        DemoFleet.Tenant buyers = DemoFleet.BUYERS;
+        report.title("A burst of " + EXCESS + " times its rate from " + buyers.name() + ", beside steady calls of "
+                + DemoFleet.ORCHARDS.name());
+        long startNanos = System.nanoTime();
+        sendAll();
+        List<Reply> bursts = burst.stream().map(CompletableFuture::join).toList();
+        double seconds = (System.nanoTime() - startNanos) / 1e9;
+        List<Reply> steadies = steady.stream().map(CompletableFuture::join).toList();
+        List<StreamReply> streamed =
+                streams.stream().map(CompletableFuture::join).toList();
+        judgeBurst(buyers, bursts, seconds);
+        judgeSteady(steadies, streamed);
+    }
+
+    private void sendAll() {
+        int perStep = (int) (EXCESS * DemoFleet.BUYERS.rate() * STEP_MILLIS / 1_000 / DemoSheet.LOOKUP_COST);
+        for (int step = 0; step < STEPS; step++) {
+            for (int i = 0; i < perStep; i++) {
+                burst.add(stage.lookup((step + i) % stage.fleet().size(), DemoFleet.BUYERS.key())
+                        .send());
+            }
+            int host = step % stage.fleet().size();
+            steady.add(stage.lookup(host, DemoFleet.ORCHARDS.key()).send());
+            if (step % STEPS_PER_STREAM == 0) {
+                String text = "Summarise delivery " + step + ".";
+                streams.add(stage.chat(host, DemoFleet.ORCHARDS.key(), text, MAX_TOKENS, true).stream());
+            }
+            Stage.pause(STEP_MILLIS);
+        }
+    }
+
+    private void judgeBurst(DemoFleet.Tenant buyers, List<Reply> replies, double seconds) {
+        long answered = replies.stream().filter(Reply::isOk).count();
+        long limited =
+                replies.stream().filter(r -> r.code().equals("RATE_LIMITED")).count();
+        long tokens = answered * DemoSheet.LOOKUP_COST;
+        double allowed = buyers.rate() * seconds + buyers.burst();
+        double fair = Math.min((double) replies.size() * DemoSheet.LOOKUP_COST, buyers.rate() * seconds);
+        report.answer(
+                buyers.name() + ": " + replies.size() + " lookups in " + SECONDS + " s",
+                answered + " answered, " + limited + " RATE_LIMITED, " + (replies.size() - answered - limited)
+                        + " other");
+        stage.measures().service(buyers.name(), tokens, fair);
+        report.expect(
+                tokens <= allowed,
+                String.format(
+                        Locale.ROOT,
+                        "%s got %d tokens over all hosts, at most rate x %.1f s + burst = %.0f",
+                        buyers.name(),
+                        tokens,
+                        seconds,
+                        allowed));
+        report.expect(limited > 0, "the excess is refused with RATE_LIMITED");
+        report.expect(
+                replies.stream().filter(r -> !r.isOk()).allMatch(r -> r.run().equals("not_run")),
+                "every refusal says not_run");
+    }
+
+    private void judgeSteady(List<Reply> lookups, List<StreamReply> streamed) {
+        String name = DemoFleet.ORCHARDS.name();
+        long answered = lookups.stream().filter(Reply::isOk).count();
+        long whole = streamed.stream().filter(StreamReply::done).count();
+        report.answer(
+                name + ": " + lookups.size() + " lookups, " + streamed.size() + " streams",
+                answered + " answered, " + whole + " whole");
+        lookups.stream().filter(r -> !r.isOk()).limit(1).forEach(r -> report.answer("first refusal", r.shown()));
+        streamed.stream().filter(r -> !r.done()).limit(1).forEach(r -> report.answer("first failure", r.shown()));
+        lookups.forEach(r -> stage.measures().withinRate(!r.isOk()));
+        streamed.forEach(r -> stage.measures().withinRate(r.status() != 200));
+        streamed.forEach(stage.measures()::stream);
+        stage.measures().service(name, answered + whole, lookups.size() + streamed.size());
+        report.expect(
+                answered == lookups.size() && whole == streamed.size(),
+                "the burst takes nothing from " + name + ": all of its requests are answered");
+    }
+}
--- /dev/null
+++ b/guavathread-cli/src/main/java/org/guavathread/cli/demo/Demo.java
@@ -0,0 +1,111 @@
+package org.guavathread.cli.demo;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.IntStream;
+
+import org.guavathread.cli.ExitCode;
+import org.guavathread.cli.Terminal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Runs all scenes of the demo one after another and gives the verdict. */
+final class Demo {
+
+    /** A first epoch settles about 12 s after the start; twice that allows for a busy machine. */
+    private static final long START_MILLIS = 25_000;
+
+    private final Terminal terminal;
+    private final DemoReport report;
+    private final DemoMeasures measures = new DemoMeasures();
+
+    Demo(Terminal terminal) {
+        this.terminal = terminal;
+        this.report = new DemoReport(terminal);
+    }
+
+    ExitCode run() {
+        long startNanos = System.nanoTime();
+        try (DemoFleet fleet = new DemoFleet();
+                DemoCaller caller = new DemoCaller()) {
+            Stage stage = new Stage(fleet, caller, report, measures);
+            if (start(fleet, stage)) {
+                runScenes(stage);
+            }
+        } catch (IOException e) {
+            report.expect(false, "the stand-ins can listen on the loopback: " + e.getMessage());
+        }
+        return verdict((System.nanoTime() - startNanos) / 1e9);
+    }
+
+    private boolean start(DemoFleet fleet, Stage stage) throws IOException {
+        report.title("Start: 3 hosts in 3 data centres, 2 prefill engines, 2 decode engines, 2 plain services");
+        fleet.start();
+        hosts(fleet)
+                .forEach(host -> report.line(
+                        fleet.host(host) + "  callers " + fleet.callers(host) + "  admin " + fleet.admin(host)));
+        report.line("waiting for the first epoch leases, about 12 s");
+        boolean serving = report.expect(
+                Stage.await(START_MILLIS, () -> hosts(fleet).allMatch(host -> isServing(stage.status(host)))),
+                "all hosts are ready, hold their lease, and their epoch is settled");
+        if (!serving) {
+            hosts(fleet).forEach(host -> report.line(stage.status(host).toString()));
+            return false;
+        }
+        return report.expect(
+                Stage.await(Stage.PATIENT_MILLIS, () -> takesBookings(stage)),
+                "the claim voters take bookings; those of a new epoch do so 2 s later, for keys issued after it");
+    }
+
+    private static IntStream hosts(DemoFleet fleet) {
+        return IntStream.range(0, fleet.size());
+    }
+
+    private static boolean takesBookings(Stage stage) {
+        return hosts(stage.fleet())
+                .allMatch(host -> stage.booking(host, Stage.newIdempotencyKey())
+                        .sendAndWait()
+                        .isOk());
+    }
+
+    private static boolean isServing(JsonNode status) {
+        return List.of("ready", "leaseHeld", "epochSettled").stream()
+                .allMatch(field -> status.path(field).asBoolean());
+    }
+
+    private void runScenes(Stage stage) {
+        new KindsScene(stage).run();
+        new BurstScene(stage).run();
+        new WithdrawnKeyScene(stage).run();
+        measures.prefills(stage.fleet().prefillRuns(), stage.fleet().usedPrefills());
+        new HostLossScene(stage).run();
+        report.title("Over the whole run");
+        report.expect(
+                List.of(DemoFleet.ORCHARDS.key(), DemoFleet.BUYERS.key(), DemoFleet.WITHDRAWN_KEY).stream()
+                        .noneMatch(stage.fleet()::anyBackendSaw),
+                "no backend server saw an API key");
+        report.expect(!stage.fleet().hasDutyGivenUp(), "no duty of a daemon failed too often");
+        measures.print(report);
+    }
+
+    private ExitCode verdict(double seconds) {
+        terminal.out().println();
+        List<String> failures = report.failures();
+        if (failures.isEmpty()) {
+            terminal.out()
+                    .println(String.format(
+                            Locale.ROOT, "demo: all %d expectations hold (%.0f s)", report.expectations(), seconds));
+            return ExitCode.OK;
+        }
+        terminal.out()
+                .println(String.format(
+                        Locale.ROOT,
+                        "demo: %d of %d expectations failed (%.0f s):",
+                        failures.size(),
+                        report.expectations(),
+                        seconds));
+        failures.forEach(failure -> terminal.out().println("  " + failure));
+        return ExitCode.NO;
+    }
+}
--- /dev/null
+++ b/guavathread-cli/src/main/java/org/guavathread/cli/demo/DemoFleet.java
@@ -0,0 +1,217 @@
+package org.guavathread.cli.demo;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.guavathread.router.Clocks;
+import org.guavathread.router.Daemon;
+import org.guavathread.router.settings.DaemonSettings;
+import org.guavathread.standin.FakeConfigService;
+import org.guavathread.standin.FakeDecodeEngine;
+import org.guavathread.standin.FakeHostList;
+import org.guavathread.standin.FakePlainService;
+import org.guavathread.standin.FakePrefillEngine;
+import org.guavathread.standin.Standin;
+
+/** Stand-ins of the backend servers and the platform, and three daemons, all in this process and on the loopback. */
+final class DemoFleet implements AutoCloseable {
+
+    static final List<String> DATA_CENTRES = List.of("curico", "talca", "linares");
+
+    /** Steady workspace, far below its rate. */
+    static final Tenant ORCHARDS = new Tenant("orchards", 1_000, 4_000, "orchards-key");
+
+    /** Workspace that sends five times its rate. */
+    static final Tenant BUYERS = new Tenant("buyers", 100, 200, "buyers-key");
+
+    /** Second API key of the steady workspace, withdrawn by the second version of the sheet. */
+    static final String WITHDRAWN_KEY = "orchards-old-key";
+
+    /** About the memory that a decode engine has at peak load. */
+    private static final int MEMORY_PIECES = 20;
+
+    private static final long MICROS_PER_PROMPT_TOKEN = 100;
+    private static final long MILLIS_PER_TOKEN = 5;
+    private static final int PORTS_PER_HOST = 3;
+
+    private final List<FakePrefillEngine> prefills = new ArrayList<>();
+    private final List<FakeDecodeEngine> decodes = new ArrayList<>();
+    private final List<FakePlainService> services = new ArrayList<>();
+    private final List<Standin> standins = new ArrayList<>();
+    private final List<Daemon> daemons = new ArrayList<>();
+    private final List<String> addresses = new ArrayList<>();
+    private final Set<Integer> lost = new HashSet<>();
+    private final AtomicBoolean dutyGaveUp = new AtomicBoolean();
+    private FakeConfigService configService;
+    private FakeHostList hostList;
+
+    /**
+     * A workspace of the demo.
+     *
+     * @param name its name
+     * @param rate tokens a second
+     * @param burst tokens
+     * @param key its API key
+     */
+    record Tenant(String name, long rate, long burst, String key) {}
+
+    DemoFleet start() throws IOException {
+        for (int i = 0; i < 2; i++) {
+            prefills.add(added(FakePrefillEngine.builder()
+                    .models(DemoSheet.MODEL)
+                    .microsPerToken(MICROS_PER_PROMPT_TOKEN)
+                    .start()));
+            decodes.add(added(FakeDecodeEngine.builder()
+                    .models(DemoSheet.MODEL)
+                    .memoryPieces(MEMORY_PIECES)
+                    .millisPerToken(MILLIS_PER_TOKEN)
+                    .start()));
+            services.add(added(FakePlainService.builder().runMillis(1).start()));
+        }
+        configService = added(FakeConfigService.builder().start());
+        hostList = added(FakeHostList.builder().start());
+        addresses.addAll(freeAddresses(DATA_CENTRES.size() * PORTS_PER_HOST));
+        publish(1, List.of(ORCHARDS.key(), WITHDRAWN_KEY));
+        for (int i = 0; i < DATA_CENTRES.size(); i++) {
+            hostList.put(host(i), "live", peers(i));
+            Daemon daemon = new Daemon(settings(i), Clocks.monotonic(), code -> dutyGaveUp.set(true));
+            daemons.add(daemon);
+            daemon.start();
+        }
+        return this;
+    }
+
+    void publish(long version, List<String> orchardsKeys) {
+        DemoSheet sheet = new DemoSheet().version(version);
+        for (int i = 0; i < DATA_CENTRES.size(); i++) {
+            sheet.host(DATA_CENTRES.get(i), callers(i), peers(i), admin(i));
+        }
+        sheet.workspace(ORCHARDS.name(), ORCHARDS.rate(), ORCHARDS.burst(), orchardsKeys)
+                .workspace(BUYERS.name(), BUYERS.rate(), BUYERS.burst(), List.of(BUYERS.key()));
+        for (int i = 0; i < 2; i++) {
+            String dataCentre = DATA_CENTRES.get(i);
+            sheet.engine(
+                            "prefill-" + (i + 1),
+                            "prefill",
+                            dataCentre,
+                            prefills.get(i).address(),
+                            0)
+                    .engine(
+                            "decode-" + (i + 1),
+                            "decode",
+                            dataCentre,
+                            decodes.get(i).address(),
+                            MEMORY_PIECES)
+                    .service("service-" + (i + 1), dataCentre, services.get(i).address());
+        }
+        configService.put("sheet", version, sheet.json());
+    }
+
+    /** Stops a daemon at once, as if its process were killed. */
+    void lose(int host) {
+        if (lost.add(host)) {
+            daemons.get(host).stop();
+        }
+    }
+
+    /** Tells whether a daemon would have ended because one of its duties failed too often. */
+    boolean hasDutyGivenUp() {
+        return dutyGaveUp.get();
+    }
+
+    String host(int index) {
+        return DemoSheet.hostId(DATA_CENTRES.get(index));
+    }
+
+    String callers(int host) {
+        return addresses.get(host * PORTS_PER_HOST);
+    }
+
+    String admin(int host) {
+        return addresses.get(host * PORTS_PER_HOST + 2);
+    }
+
+    private String peers(int host) {
+        return addresses.get(host * PORTS_PER_HOST + 1);
+    }
+
+    int size() {
+        return daemons.size();
+    }
+
+    /** Counts how often plain services ran a request, found by its idempotency key. */
+    int runsOf(String idempotencyKey) {
+        return services.stream()
+                .mapToInt(service -> service.runsWith("Idempotency-Key", idempotencyKey))
+                .sum();
+    }
+
+    /** Delays each call of a plain service before it runs. */
+    void slowServices(long millis) {
+        services.forEach(service -> service.faults().delayMillis(millis));
+    }
+
+    int prefillRuns() {
+        return prefills.stream().mapToInt(Standin::totalRuns).sum();
+    }
+
+    int usedPrefills() {
+        return prefills.stream().mapToInt(FakePrefillEngine::exports).sum();
+    }
+
+    int usedPieces() {
+        return decodes.stream().mapToInt(FakeDecodeEngine::usedPieces).sum();
+    }
+
+    /** Tells whether any backend server has seen a text, for example an API key. */
+    boolean anyBackendSaw(String text) {
+        return standins.stream().anyMatch(s -> s.received().everContained(text));
+    }
+
+    private DaemonSettings settings(int host) {
+        return new DaemonSettings()
+                .hostId(host(host))
+                .dataCentre(DATA_CENTRES.get(host))
+                .listenCallers(callers(host))
+                .listenPeers(peers(host))
+                .listenAdmin(admin(host))
+                .configService("http://" + configService.address())
+                .hostList("http://" + hostList.address());
+    }
+
+    private <T extends Standin> T added(T standin) {
+        standins.add(standin);
+        return standin;
+    }
+
+    /** All sockets are open together, so that no port is given twice. */
+    private static List<String> freeAddresses(int count) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        try {
+            for (int i = 0; i < count; i++) {
+                sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+            }
+            return sockets.stream()
+                    .map(socket -> "127.0.0.1:" + socket.getLocalPort())
+                    .toList();
+        } finally {
+            for (ServerSocket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        for (int i = 0; i < daemons.size(); i++) {
+            lose(i);
+        }
+        standins.forEach(Standin::close);
+    }
+}
--- /dev/null
+++ b/guavathread-cli/src/main/java/org/guavathread/cli/demo/DemoReport.java
@@ -0,0 +1,52 @@
+package org.guavathread.cli.demo;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.guavathread.cli.Terminal;
+import org.guavathread.cli.Terminal.Style;
+
+/** Prints what happens in the demo, and remembers which expectations failed. */
+final class DemoReport {
+
+    private final Terminal terminal;
+    private final List<String> failures = new ArrayList<>();
+    private int expectations;
+
+    DemoReport(Terminal terminal) {
+        this.terminal = terminal;
+    }
+
+    void title(String text) {
+        terminal.out().println();
+        terminal.out().println(terminal.styled(Style.BOLD, text));
+    }
+
+    void line(String text) {
+        terminal.out().println("  " + text);
+    }
+
+    void answer(String what, String shown) {
+        terminal.out().printf("  %-46s %s%n", what, Texts.shortened(shown));
+    }
+
+    /** Prints whether an expectation holds. */
+    boolean expect(boolean holds, String expectation) {
+        expectations++;
+        if (holds) {
+            terminal.out().println("  " + terminal.styled(Style.GOOD, "ok") + "      " + expectation);
+        } else {
+            failures.add(expectation);
+            terminal.out().println("  " + terminal.styled(Style.BAD, "FAILED") + "  " + expectation);
+        }
+        return holds;
+    }
+
+    List<String> failures() {
+        return failures;
+    }
+
+    int expectations() {
+        return expectations;
+    }
+}
--- /dev/null
+++ b/guavathread-cli/src/main/java/org/guavathread/cli/demo/KindsScene.java
@@ -0,0 +1,95 @@
+package org.guavathread.cli.demo;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.guavathread.standin.FakeDecodeEngine;
+
+/** Sends each kind of request once. */
+final class KindsScene {
+
+    private static final int MAX_TOKENS = 16;
+
+    private final Stage stage;
+    private final DemoReport report;
+    private final String key = DemoFleet.ORCHARDS.key();
+
+    KindsScene(Stage stage) {
+        this.stage = stage;
+        this.report = stage.report();
+    }
+
+    void run() {
+        report.title("Each kind of request");
+        Reply entry = stage.caller()
+                .request(stage.fleet().callers(0), "/v1/entry")
+                .key(key)
+                .sendAndWait();
+        report.answer("entry: which addresses to use", entry.shown());
+        report.expect(
+                entry.body().path("addresses").size() == stage.fleet().size(), "entry lists all hosts of the fleet");
+        Reply lookup = stage.lookup(0, key).sendAndWait();
+        report.answer("lookup (idempotent) at " + stage.fleet().host(0), lookup.shown());
+        Reply note = stage.caller()
+                .request(stage.fleet().callers(1), DemoSheet.NOTE)
+                .key(key)
+                .body("{\"gate\":3}")
+                .sendAndWait();
+        report.answer("booking without idempotency key", note.shown());
+        Reply open = stage.caller()
+                .request(stage.fleet().callers(2), DemoSheet.OPENING_HOURS)
+                .sendAndWait();
+        report.answer("open route, no API key", open.shown());
+        report.expect(lookup.isOk() && note.isOk() && open.isOk(), "lookup, booking and open route are answered");
+        bookings();
+        language();
+        refusals();
+    }
+
+    private void bookings() {
+        String idempotencyKey = Stage.newIdempotencyKey();
+        Reply first = stage.booking(0, idempotencyKey).sendAndWait();
+        Reply resent = stage.booking(1, idempotencyKey).sendAndWait();
+        report.answer("booking with idempotency key at " + stage.fleet().host(0), first.shown());
+        report.answer("the same booking again at " + stage.fleet().host(1), resent.shown());
+        report.expect(
+                first.isOk() && resent.isOk() && first.body().equals(resent.body()),
+                "a resend at another host gets the answer of the first send");
+        report.expect(stage.fleet().runsOf(idempotencyKey) == 1, "the booking ran once");
+    }
+
+    private void language() {
+        String text = "Summarise the quality of lot fuji-12.";
+        Reply whole = stage.chat(1, key, text, MAX_TOKENS, false).sendAndWait();
+        report.answer("summary (deferrable), whole answer", whole.shown());
+        StreamReply stream = stage.chat(2, key, text, MAX_TOKENS, true).stream().join();
+        report.answer("summary, streamed", stream.shown());
+        stage.measures().stream(stream);
+        List<String> expected = tokens(text, MAX_TOKENS);
+        report.expect(
+                whole.body().at("/choices/0/message/content").asText().equals(String.join("", expected)),
+                "the whole answer holds every token once");
+        report.expect(stream.done() && stream.tokens().equals(expected), "the stream holds every token once, in order");
+    }
+
+    private void refusals() {
+        Reply unknown = stage.lookup(0, "no-such-key").sendAndWait();
+        Reply missing = stage.caller()
+                .request(stage.fleet().callers(0), DemoSheet.BOOKING)
+                .key(key)
+                .body("{}")
+                .sendAndWait();
+        report.answer("lookup with an unknown API key", unknown.shown());
+        report.answer("booking that lacks its idempotency key", missing.shown());
+        report.expect(
+                unknown.code().equals("KEY_UNKNOWN") && missing.code().equals("IDEMPOTENCY_KEY_MISSING"),
+                "wrong requests are refused with the reason");
+    }
+
+    /** Lists the tokens that the stand-in engines produce for a text. */
+    static List<String> tokens(String text, int count) {
+        return IntStream.range(0, count)
+                .mapToObj(i -> FakeDecodeEngine.tokenOf(Stage.promptOf(text), i))
+                .toList();
+    }
+}
--- /dev/null
+++ b/guavathread-cli/src/main/java/org/guavathread/cli/demo/WithdrawnKeyScene.java
@@ -0,0 +1,70 @@
+package org.guavathread.cli.demo;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+
+/** Publishes a sheet that lacks an API key while a stream under that key runs. */
+final class WithdrawnKeyScene {
+
+    /** At 5 ms a token, far longer than the withdrawal takes. */
+    private static final int LONG_STREAM_TOKENS = 2_000;
+
+    private static final int OTHER_STREAM_TOKENS = 300;
+    private static final long NEXT_VERSION = 2;
+
+    /** The sheet is in force within 5 s while the configuration service is up; then a stream ends within 3 s. */
+    private static final long MAX_CUT_MILLIS = 8_000;
+
+    private final Stage stage;
+    private final DemoReport report;
+
+    WithdrawnKeyScene(Stage stage) {
+        this.stage = stage;
+        this.report = stage.report();
+    }
+
+    void run() {
+        report.title("An API key is withdrawn while a stream runs");
+        CompletableFuture<StreamReply> withdrawn =
+                stage.chat(0, DemoFleet.WITHDRAWN_KEY, "Summarise the season.", LONG_STREAM_TOKENS, true).stream();
+        CompletableFuture<StreamReply> other =
+                stage.chat(1, DemoFleet.ORCHARDS.key(), "Summarise the week.", OTHER_STREAM_TOKENS, true).stream();
+        report.expect(
+                Stage.await(Stage.PATIENT_MILLIS, () -> stage.fleet().usedPieces() > 1),
+                "both streams hold decode memory");
+        Stage.pause(500);
+        long publishedAtMillis = System.currentTimeMillis();
+        stage.fleet().publish(NEXT_VERSION, List.of(DemoFleet.ORCHARDS.key()));
+        report.line("sheet version " + NEXT_VERSION + " is published without the key");
+        StreamReply cut = withdrawn.join();
+        long cutAfterMillis = cut.endedAtMillis() - publishedAtMillis;
+        report.answer("stream under the withdrawn key", cut.shown() + ", " + cutAfterMillis + " ms after that");
+        report.expect(
+                !cut.done() && !cut.tokens().isEmpty() && cutAfterMillis >= 0 && cutAfterMillis <= MAX_CUT_MILLIS,
+                "the stream was running and was cut within " + MAX_CUT_MILLIS / 1_000 + " s");
+        report.expect(
+                Stage.await(Stage.PATIENT_MILLIS, this::isInForceEverywhere),
+                "version " + NEXT_VERSION + " is in force on all hosts");
+        List<Reply> refused = IntStream.range(0, stage.fleet().size())
+                .mapToObj(host -> stage.lookup(host, DemoFleet.WITHDRAWN_KEY).sendAndWait())
+                .toList();
+        report.answer("lookup with the withdrawn key", refused.get(0).shown());
+        report.expect(
+                refused.stream().allMatch(r -> r.code().equals("KEY_UNKNOWN")), "every host refuses the withdrawn key");
+        StreamReply whole = other.join();
+        report.answer("stream under the other key of the workspace", whole.shown());
+        stage.measures().stream(whole);
+        report.expect(
+                whole.done() && whole.tokens().equals(KindsScene.tokens("Summarise the week.", OTHER_STREAM_TOKENS)),
+                "the other stream is not touched");
+        report.expect(
+                Stage.await(Stage.PATIENT_MILLIS, () -> stage.fleet().usedPieces() == 0),
+                "the engines hold no memory of ended requests");
+    }
+
+    private boolean isInForceEverywhere() {
+        return IntStream.range(0, stage.fleet().size())
+                .allMatch(host -> stage.status(host).path("sheetVersion").asLong() == NEXT_VERSION);
+    }
+}
--- a/guavathread-cli/src/test/java/org/guavathread/cli/CommandLineTest.java
+++ b/guavathread-cli/src/test/java/org/guavathread/cli/CommandLineTest.java
@@ -59,6 +59,7 @@
                 "backends",
                 "audit",
                 "explain",
+                "demo",
                 "sheet check",
                 "sheet diff",
                 "sheet hash-key"
--- a/guavathread-router/src/main/java/org/guavathread/router/log/Logs.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/log/Logs.java
@@ -8,6 +8,9 @@
     /** Tag of the audit trail. */
     public static final String AUDIT_TAG = "audit";
 
+    /** Held here because java.util.logging forgets the level of a logger that nobody refers to. */
+    private static final java.util.logging.Logger GRIZZLY = java.util.logging.Logger.getLogger("org.glassfish.grizzly");
+
     private Logs() {}
 
     /**
@@ -20,6 +23,6 @@
         Configuration.set("level", level);
         Configuration.set("autoshutdown", "true");
         // Grizzly logs each listener through java.util.logging as plain text, which is not structured.
-        java.util.logging.Logger.getLogger("org.glassfish.grizzly").setLevel(java.util.logging.Level.WARNING);
+        GRIZZLY.setLevel(java.util.logging.Level.WARNING);
     }
 }
