Pick owners without sorting all hosts

Cause: a vote on a claim ranks 410 hosts with two string hashes each and sorts them, and a sheet change does so for each of 14,000 workspaces. Change: the key is hashed once, and the few owners are found by scans.

--- a/guavathread-core/src/main/java/org/guavathread/core/hash/RendezvousHash.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/hash/RendezvousHash.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -23,6 +22,8 @@
 
     private static final Hasher64 HASHER = Hashing.komihash5_0();
 
+    private record Weighted<T>(T candidate, long weight, String name) {}
+
     private RendezvousHash() {}
 
     /**
@@ -35,14 +36,8 @@
      * @return the candidates by falling weight
      */
     public static <T> List<T> rank(String key, Collection<T> candidates, Function<T, String> nameOf) {
-        record Weighted<T>(T candidate, long weight, String name) {}
-        List<Weighted<T>> weighted = new ArrayList<>(candidates.size());
-        for (T candidate : candidates) {
-            String name = nameOf.apply(candidate);
-            weighted.add(new Weighted<>(candidate, weight(key, name), name));
-        }
-        Comparator<Weighted<T>> byWeight = (a, b) -> Long.compareUnsigned(b.weight(), a.weight());
-        weighted.sort(byWeight.thenComparing(Weighted::name));
+        List<Weighted<T>> weighted = weighted(key, candidates, nameOf);
+        weighted.sort(RendezvousHash::compare);
         return weighted.stream().map(Weighted::candidate).toList();
     }
 
@@ -60,32 +55,58 @@
      */
     public static <T, G> List<T> rankSpread(
             String key, Collection<T> candidates, Function<T, String> nameOf, Function<T, G> groupOf, int count) {
-        List<T> remaining = new ArrayList<>(rank(key, candidates, nameOf));
-        List<T> picked = new ArrayList<>(count);
+        List<Weighted<T>> remaining = weighted(key, candidates, nameOf);
+        List<T> picked = new ArrayList<>(Math.min(count, remaining.size()));
         Set<G> usedGroups = new HashSet<>();
         while (picked.size() < count && !remaining.isEmpty()) {
-            T next = firstInUnusedGroup(remaining, groupOf, usedGroups);
-            if (next == null) {
+            int best = bestInUnusedGroup(remaining, groupOf, usedGroups);
+            if (best < 0) {
                 usedGroups.clear();
                 continue;
             }
-            remaining.remove(next);
-            usedGroups.add(groupOf.apply(next));
-            picked.add(next);
+            // Order does not matter here, so the last one takes the place of the removed one.
+            Weighted<T> next = remaining.set(best, remaining.get(remaining.size() - 1));
+            remaining.remove(remaining.size() - 1);
+            usedGroups.add(groupOf.apply(next.candidate()));
+            picked.add(next.candidate());
         }
         return picked;
     }
 
-    private static <T, G> T firstInUnusedGroup(List<T> ranked, Function<T, G> groupOf, Set<G> usedGroups) {
-        for (T candidate : ranked) {
-            if (!usedGroups.contains(groupOf.apply(candidate))) {
-                return candidate;
+    /** Scans for the best candidate; a few scans of 410 hosts cost less than sorting them. */
+    private static <T, G> int bestInUnusedGroup(
+            List<Weighted<T>> remaining, Function<T, G> groupOf, Set<G> usedGroups) {
+        int best = -1;
+        for (int i = 0; i < remaining.size(); i++) {
+            boolean better = best < 0 || compare(remaining.get(i), remaining.get(best)) < 0;
+            if (better && !usedGroups.contains(groupOf.apply(remaining.get(i).candidate()))) {
+                best = i;
             }
         }
-        return null;
+        return best;
+    }
+
+    /** Hashes the key once, because it is longer than most names. */
+    private static <T> List<Weighted<T>> weighted(String key, Collection<T> candidates, Function<T, String> nameOf) {
+        long keyHash = HASHER.hashCharsToLong(key);
+        List<Weighted<T>> weighted = new ArrayList<>(candidates.size());
+        for (T candidate : candidates) {
+            String name = nameOf.apply(candidate);
+            weighted.add(new Weighted<>(candidate, mixed(keyHash ^ HASHER.hashCharsToLong(name)), name));
+        }
+        return weighted;
+    }
+
+    private static <T> int compare(Weighted<T> a, Weighted<T> b) {
+        int byWeight = Long.compareUnsigned(b.weight(), a.weight());
+        return byWeight != 0 ? byWeight : a.name().compareTo(b.name());
     }
 
-    private static long weight(String key, String name) {
-        return HASHER.hashStream().putString(key).putString(name).getAsLong();
+    /** Spreads the combined hash over all bits: the 64-bit finalizer of MurmurHash3 by Austin Appleby. */
+    private static long mixed(long hash) {
+        long h = hash;
+        h = (h ^ h >>> 33) * 0xff51afd7ed558ccdL;
+        h = (h ^ h >>> 33) * 0xc4ceb9fe1a85ec53L;
+        return h ^ h >>> 33;
     }
 }
