Name environment variables in the help and the way out of a failed call

Cause: the help did not say that options can be set by variables; a refused connection was shown as the name of a Java exception; a line of the program's help was longer than 120 columns. Change: the help has a line on variables, the message names what to check, and the summary of the demo is shorter.

--- a/guavathread-cli/src/main/java/org/guavathread/cli/Help.java
+++ b/guavathread-cli/src/main/java/org/guavathread/cli/Help.java
@@ -51,7 +51,7 @@
 
     void printGroup(PrintStream out, String group, List<CommandSpec> specs) {
         heading(out, "Usage");
-        specs.forEach(spec -> out.println("  " + program + " " + spec.name() + " " + spec.synopsis()));
+        specs.forEach(spec -> out.println("  " + program + " " + (spec.name() + " " + spec.synopsis()).strip()));
         out.println();
         heading(out, "Commands");
         printCommands(out, specs);
@@ -61,7 +61,7 @@
 
     void printCommand(PrintStream out, CommandSpec spec, Object command, Object common) {
         heading(out, "Usage");
-        out.println("  " + program + " " + spec.name() + " " + spec.synopsis());
+        out.println("  " + program + " " + (spec.name() + " " + spec.synopsis()).strip());
         out.println();
         out.println(spec.summary());
         Arrays.stream(spec.details()).forEach(out::println);
@@ -70,6 +70,7 @@
         List<Line> lines = new ArrayList<>(linesOf(command));
         lines.addAll(linesOf(common));
         printLines(out, lines);
+        out.println("  Options that take a value can be set by variables, for example GUAVATHREAD_ADMIN for --admin.");
         out.println();
         printExitCodes(out, spec.exitCodes());
         out.println();
--- a/guavathread-cli/src/main/java/org/guavathread/cli/demo/DemoCommand.java
+++ b/guavathread-cli/src/main/java/org/guavathread/cli/demo/DemoCommand.java
@@ -11,8 +11,7 @@
 /** Shows the daemons at work against stand-ins. */
 @CommandSpec(
         name = "demo",
-        summary =
-                "Runs three daemons against stand-ins in this process, sends every kind of request, and checks the answers.",
+        summary = "Runs three daemons against stand-ins in this process, and checks what callers get.",
         synopsis = "[--log-level LEVEL]",
         details = {
             "Uses free ports of the loopback only, and takes less than a minute; about 12 s of it pass until the hosts hold",
--- a/guavathread-cli/src/main/java/org/guavathread/cli/fleet/AdminClient.java
+++ b/guavathread-cli/src/main/java/org/guavathread/cli/fleet/AdminClient.java
@@ -1,6 +1,7 @@
 package org.guavathread.cli.fleet;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -74,7 +75,9 @@
         if (cause instanceof TimeoutException || cause instanceof HttpTimeoutException) {
             return "no answer within " + TIMEOUT.toSeconds() + " s";
         }
-        String message = cause.getMessage() == null ? cause.getClass().getSimpleName() : cause.getMessage();
-        return "no connection (" + message + ")";
+        if (cause instanceof ConnectException) {
+            return "no connection; check that its daemon runs and that the address is its admin port";
+        }
+        return "the call failed: " + (cause.getMessage() == null ? cause : cause.getMessage());
     }
 }
