Close silent connections between hosts and harden early refusals

Causes and changes: - A silent connection between hosts was never replaced, because all questions have deadlines below the silence limit and their expiry hid the silence. The connection now remembers since when an answer is due.

--- a/guavathread-core/src/main/java/org/guavathread/core/claim/ClaimCoordinator.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/claim/ClaimCoordinator.java
@@ -297,7 +297,7 @@
             backOff(nowMillis);
         } else {
             long wait = Math.max(0, otherBarrierMillis - nowMillis);
-            abort(ClaimRefusals.unavailable().retryAfter(wait), nowMillis);
+            abort(ClaimRefusals.unavailable().retryAfter(Math.max(ClaimRefusals.RETRY_AFTER_MILLIS, wait)), nowMillis);
         }
     }
 
--- a/guavathread-core/src/main/java/org/guavathread/core/claim/ClaimRefusals.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/claim/ClaimRefusals.java
@@ -9,11 +9,15 @@
 /** The refusals of a coordinator; all say {@code unknown} until voters have confirmed an abort. */
 final class ClaimRefusals {
 
+    /** A caller that waits this long finds voters of a restarted or recovered host. */
+    static final long RETRY_AFTER_MILLIS = 1_000;
+
     private ClaimRefusals() {}
 
     static Refusal unavailable() {
         return Refusal.unknown(
-                RefusalCode.CLAIMS_UNAVAILABLE, "Too few hosts could vote on this request; send it again.");
+                        RefusalCode.CLAIMS_UNAVAILABLE, "Too few hosts could vote on this request; send it again.")
+                .retryAfter(RETRY_AFTER_MILLIS);
     }
 
     static Refusal waitedTooLong() {
--- a/guavathread-core/src/main/java/org/guavathread/core/sheet/SheetEntries.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/sheet/SheetEntries.java
@@ -251,6 +251,12 @@
             long cost = fields.number("costTokens", 1, 1_000_000_000, 1);
             if (target == RouteTarget.LANGUAGE) {
                 requireOnly(fields, "language", "models", "backendServers");
+                if (kind == RequestKind.NON_REPEATABLE) {
+                    fields.fault(
+                            fields.at("kind"),
+                            "\"non_repeatable\" is not a kind of language routes, which take no claims; write"
+                                    + " deferrable or idempotent.");
+                }
             } else if (target == RouteTarget.SERVICE) {
                 requireOnly(fields, "service", "backendServers", "models");
             }
--- a/guavathread-router/src/main/java/org/guavathread/router/admin/AdminPages.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/admin/AdminPages.java
@@ -171,6 +171,12 @@
         if (!configuration.isServing()) {
             return new Probe(false, "no sheet is in force yet");
         }
+        if (!fleet.now().sheet().hosts().containsKey(settings.hostId())) {
+            return new Probe(false, "the sheet in force does not list this host; check --host-id");
+        }
+        if (!fleet.now().epochs().holdsLease(clock.nowMillis())) {
+            return new Probe(false, "the host does not hold its epoch lease yet");
+        }
         if (configuration.isIsolated()) {
             return new Probe(false, "the host hears neither the configuration service nor any peer");
         }
--- a/guavathread-router/src/main/java/org/guavathread/router/admin/AdminServer.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/admin/AdminServer.java
@@ -19,6 +19,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
 
 /**
  * Listens for operators and for Prometheus.
@@ -29,7 +30,7 @@
  */
 public final class AdminServer implements Supervised {
 
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final ObjectMapper JSON = new ObjectMapper().enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS);
     private static final int STATUS_OK = 200;
     private static final int STATUS_FAILED = 500;
     private static final int STATUS_UNAVAILABLE = 503;
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/CallerServer.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/CallerServer.java
@@ -201,7 +201,9 @@
             GrizzlyExchange exchange =
                     new GrizzlyExchange(ids.next(), request, response, new byte[0], guard, arrivedAtMillis, clock);
             exchange.closeAfterAnswer();
-            exchange.refuse(refusal);
+            // An earlier send of a request with an idempotency key may have arrived whole at another host.
+            boolean mayHaveRun = exchange.header("Idempotency-Key").isPresent();
+            exchange.refuse(mayHaveRun ? Refusal.unknown(refusal.code(), refusal.message()) : refusal);
         }
 
         private void readReady() throws IOException {
--- a/guavathread-router/src/main/java/org/guavathread/router/flow/RequestContext.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/RequestContext.java
@@ -15,7 +15,7 @@
 /** One accepted request on its way through the steps. */
 final class RequestContext {
 
-    private static final WorkspaceId OPEN = new WorkspaceId("open");
+    private static final WorkspaceId OPEN = new WorkspaceId("(open)");
 
     private final CallerExchange exchange;
     private final Route route;
--- a/guavathread-router/src/main/java/org/guavathread/router/flow/RequestRouter.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/RequestRouter.java
@@ -153,9 +153,14 @@
         exchange.answer(200, Map.of("Content-Type", "application/json", "Cache-Control", "no-store"), json(answer));
     }
 
+    /** An earlier send of a request with an idempotency key may have run at another host or under another sheet. */
     private void refuseAtOnce(CallerExchange exchange, Refusal refusal) {
-        active.refusedAtOnce(refusal);
-        exchange.refuse(refusal);
+        boolean mayHaveRun = exchange.header("Idempotency-Key").isPresent();
+        Refusal told = mayHaveRun
+                ? Refusal.unknown(refusal.code(), refusal.message()).retryAfter(refusal.retryAfterMillis())
+                : refusal;
+        active.refusedAtOnce(told);
+        exchange.refuse(told);
     }
 
     private static Refusal keyUnknown() {
--- a/guavathread-router/src/main/java/org/guavathread/router/peer/PeerConnection.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/peer/PeerConnection.java
@@ -8,6 +8,7 @@
 import org.glassfish.grizzly.Connection;
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.message.PeerMessage;
+import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.wire.Frame;
 
 /** One open connection and the requests that wait for their answers on it. */
@@ -16,24 +17,32 @@
     /** A connection that owes an answer and delivered nothing for this long is taken for broken. */
     static final long SILENCE_LIMIT_MILLIS = 3_000;
 
-    private record Pending(CompletableFuture<PeerMessage> answer, long sentAtMillis, long deadlineMillis) {}
+    private static final long NOTHING_DUE = Long.MAX_VALUE;
+
+    private record Pending(CompletableFuture<PeerMessage> answer, long deadlineMillis) {}
 
     private final Connection<?> connection;
     private final HostId peer;
     private final AtomicLong nextCorrelation = new AtomicLong(1);
     private final Map<Long, Pending> pendingByCorrelation = new ConcurrentHashMap<>();
-    private volatile long lastReceivedAtMillis;
+    private final SocketAddressText address;
+    private volatile long unansweredSinceMillis = NOTHING_DUE;
 
-    PeerConnection(Connection<?> connection, HostId peer, long nowMillis) {
+    PeerConnection(Connection<?> connection, HostId peer, SocketAddressText address) {
         this.connection = connection;
         this.peer = peer;
-        this.lastReceivedAtMillis = nowMillis;
+        this.address = address;
     }
 
     HostId peer() {
         return peer;
     }
 
+    /** Tells whether the connection leads to an address; the sheet may give a host another one. */
+    boolean leadsTo(SocketAddressText wanted) {
+        return address.equals(wanted);
+    }
+
     boolean isOpen() {
         return connection.isOpen();
     }
@@ -45,7 +54,10 @@
     CompletableFuture<PeerMessage> ask(PeerMessage message, long nowMillis, long deadlineMillis) {
         long correlation = nextCorrelation.getAndIncrement();
         CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
-        pendingByCorrelation.put(correlation, new Pending(answer, nowMillis, deadlineMillis));
+        pendingByCorrelation.put(correlation, new Pending(answer, deadlineMillis));
+        if (unansweredSinceMillis == NOTHING_DUE) {
+            unansweredSinceMillis = nowMillis;
+        }
         connection.write(new Frame(correlation, false, message));
         if (!connection.isOpen()) {
             failAll("the connection was closed");
@@ -53,8 +65,8 @@
         return answer;
     }
 
-    void received(long nowMillis) {
-        lastReceivedAtMillis = nowMillis;
+    void received() {
+        unansweredSinceMillis = NOTHING_DUE;
     }
 
     void complete(long correlation, PeerMessage answer) {
@@ -66,23 +78,23 @@
 
     /** Fails what is past its deadline; closes the connection if it owes an answer and has been silent for too long. */
     void expire(long nowMillis) {
-        boolean silent = false;
         for (Map.Entry<Long, Pending> entry : pendingByCorrelation.entrySet()) {
             Pending pending = entry.getValue();
-            silent |= nowMillis - Math.max(lastReceivedAtMillis, pending.sentAtMillis()) >= SILENCE_LIMIT_MILLIS;
             if (nowMillis >= pending.deadlineMillis() && pendingByCorrelation.remove(entry.getKey(), pending)) {
                 pending.answer()
                         .completeExceptionally(new PeerException("wait for an answer", peer, "its deadline passed"));
             }
         }
-        if (silent) {
+        // Questions have shorter deadlines than the limit, so those that have expired count as well.
+        if (nowMillis - SILENCE_LIMIT_MILLIS >= unansweredSinceMillis) {
             close("nothing arrived for " + SILENCE_LIMIT_MILLIS + " ms while an answer was due");
         }
     }
 
     void close(String reason) {
-        connection.closeSilently();
+        // The close listener would give a less telling reason.
         failAll(reason);
+        connection.closeSilently();
     }
 
     void failAll(String reason) {
--- a/guavathread-router/src/main/java/org/guavathread/router/peer/PeerNetwork.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/peer/PeerNetwork.java
@@ -165,22 +165,29 @@
 
     private CompletableFuture<PeerConnection> connectionTo(HostId to) {
         CompletableFuture<PeerConnection> existing = outgoing.get(to);
-        if (existing != null && isUsable(existing)) {
+        if (existing != null && isUsable(to, existing)) {
             return existing;
         }
         CompletableFuture<PeerConnection> fresh = new CompletableFuture<>();
-        CompletableFuture<PeerConnection> used = outgoing.compute(to, (h, old) -> isUsable(old) ? old : fresh);
+        CompletableFuture<PeerConnection> used = outgoing.compute(to, (h, old) -> isUsable(h, old) ? old : fresh);
         if (used == fresh) {
             connect(to, fresh);
         }
         return used;
     }
 
-    private static boolean isUsable(CompletableFuture<PeerConnection> future) {
+    private boolean isUsable(HostId to, CompletableFuture<PeerConnection> future) {
         if (future == null || future.isCompletedExceptionally()) {
             return false;
         }
-        return !future.isDone() || future.join().isOpen();
+        if (!future.isDone()) {
+            return true;
+        }
+        PeerConnection connection = future.join();
+        if (directory.addressOf(to).filter(connection::leadsTo).isEmpty()) {
+            connection.close("the sheet gives the host another address");
+        }
+        return connection.isOpen();
     }
 
     @SuppressWarnings("rawtypes") // Grizzly declares the handler with the raw type.
@@ -195,7 +202,7 @@
         CompletionHandler<Connection> onConnected = new EmptyCompletionHandler<>() {
             @Override
             public void completed(Connection connection) {
-                PeerConnection peer = new PeerConnection(connection, to, clock.nowMillis());
+                PeerConnection peer = new PeerConnection(connection, to, address.get());
                 connectionAttribute.set(connection, peer);
                 peer.send(hello.get());
                 result.complete(peer);
@@ -236,10 +243,10 @@
             if (peer == null) {
                 greet(connection, frame);
             } else if (frame.reply()) {
-                peer.received(clock.nowMillis());
+                peer.received();
                 peer.complete(frame.correlation(), frame.message());
             } else {
-                peer.received(clock.nowMillis());
+                peer.received();
                 handler.handle(peer.peer(), frame.message(), reply -> reply(connection, frame, reply));
             }
             return ctx.getStopAction();
@@ -260,7 +267,7 @@
                     .getAddress()
                     .getHostAddress();
             if (frame.message() instanceof Hello greeting && directory.accepts(greeting.host(), ip)) {
-                connectionAttribute.set(connection, new PeerConnection(connection, greeting.host(), clock.nowMillis()));
+                connectionAttribute.set(connection, new PeerConnection(connection, greeting.host(), listen));
                 incoming.add(connection);
                 return;
             }
--- a/guavathread-router/src/main/java/org/guavathread/router/settings/DaemonSettings.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/settings/DaemonSettings.java
@@ -206,8 +206,9 @@
     }
 
     private static String requiredName(String name, String value) {
-        if (value == null || !value.matches("[A-Za-z0-9][A-Za-z0-9._-]{0,62}")) {
-            throw SettingException.of(name, value, "a name of letters, digits, '.', '_' and '-', 1 to 63 characters");
+        if (value == null || !value.matches("[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}")) {
+            throw SettingException.of(
+                    name, value, "a name as in the sheet: letters, digits and . _ : / -, at most 128 characters");
         }
         return value;
     }
--- a/guavathread-router/src/test/java/org/guavathread/router/peer/PeerNetworkTest.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/peer/PeerNetworkTest.java
@@ -100,6 +100,34 @@
         assertEquals(new Echo("again"), a.ask(B, new Echo("again"), soon(5_000)).join());
     }
 
+    /** Guards against questions whose deadlines are shorter than the silence limit, which hid a silent connection. */
+    @Test
+    void silenceIsNoticedAlsoWithShortDeadlines() {
+        assertEquals(new Echo("first"), a.ask(B, new Echo("first"), soon(5_000)).join());
+        answering = false;
+        long deadlineMillis = System.currentTimeMillis() + 20_000;
+        boolean closed = false;
+        while (!closed && System.currentTimeMillis() < deadlineMillis) {
+            CompletionException failure = assertThrows(
+                    CompletionException.class,
+                    () -> a.ask(B, new Echo("x"), soon(500)).join());
+            closed = String.valueOf(failure.getCause()).contains("nothing arrived");
+        }
+        assertTrue(closed, "the connection must be closed after three seconds without an answer");
+        answering = true;
+        assertEquals(new Echo("again"), a.ask(B, new Echo("again"), soon(5_000)).join());
+    }
+
+    /** Guards against a connection that is kept although the sheet gives the host another address. */
+    @Test
+    void changedAddressEndsTheConnection() throws Exception {
+        assertEquals(new Echo("old"), a.ask(B, new Echo("old"), soon(5_000)).join());
+        addresses = Map.of(A, addresses.get(A), B, freeAddress());
+        assertThrows(
+                CompletionException.class,
+                () -> a.ask(B, new Echo("new"), soon(2_000)).join());
+    }
+
     @Test
     void unknownHostFailsAtOnce() {
         HostId unknown = new HostId("unknown");
