Ask longer questions in the test of a silent connection

The half-second questions could end on the same tick as the silence limit, so the test did not always see the reason of the close. With questions of 1.3 s the third one is under way at the limit; the check itself is unchanged.

--- a/guavathread-router/src/test/java/org/guavathread/router/peer/PeerNetworkTest.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/peer/PeerNetworkTest.java
@@ -106,11 +106,12 @@
         assertEquals(new Echo("first"), a.ask(B, new Echo("first"), soon(5_000)).join());
         answering = false;
         long deadlineMillis = System.currentTimeMillis() + 20_000;
+        // The third question is under way when the limit of three seconds passes.
         boolean closed = false;
         while (!closed && System.currentTimeMillis() < deadlineMillis) {
             CompletionException failure = assertThrows(
                     CompletionException.class,
-                    () -> a.ask(B, new Echo("x"), soon(500)).join());
+                    () -> a.ask(B, new Echo("x"), soon(1_300)).join());
             closed = String.valueOf(failure.getCause()).contains("nothing arrived");
         }
         assertTrue(closed, "the connection must be closed after three seconds without an answer");
