--- a/guavathread-bench/src/main/java/org/guavathread/bench/GuavathreadBench.java
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/GuavathreadBench.java
@@ -9,6 +9,7 @@
 import org.guavathread.bench.claims.ClaimsScenario;
 import org.guavathread.bench.configuration.ConfigurationScenario;
 import org.guavathread.bench.limits.LimitsScenario;
+import org.guavathread.bench.overhead.OverheadScenario;
 import org.guavathread.bench.placement.PlacementScenario;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
@@ -53,6 +54,7 @@
         scenarios.add(new ConfigurationScenario());
         scenarios.add(new LimitsScenario());
         scenarios.add(new CapacityScenario());
+        scenarios.add(new OverheadScenario());
         return scenarios;
     }
 
--- a/guavathread-router/src/main/java/org/guavathread/router/Daemon.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/Daemon.java
@@ -205,6 +205,16 @@
         return configuration.isServing() && !drain.isDraining();
     }
 
+    /**
+     * Tells whether this host may use all its rights, which takes about 12 s after the first start of a fleet.
+     *
+     * @return true while it holds the lease of a settled epoch
+     */
+    public boolean holdsSettledLease() {
+        long now = clock.nowMillis();
+        return fleet.now().epochs().holdsLease(now) && fleet.now().epochs().isSettled(now);
+    }
+
     private void addServers(Supervisor callerSupervisor, DaemonSettings settings, Incarnation incarnation) {
         PauseDetector pauses = callerSupervisor.add(new PauseDetector(clock));
         callerSupervisor.add(new CallerServer(
