Run each kind of request against three daemon processes

Cause: no test started the daemon as a process or drove requests through a fleet.

Change: Cucumber scenarios start three daemons and the stand-ins and send requests of each kind. The fake plain service takes its run time from the request.

--- /dev/null
+++ b/guavathread-router/src/test/java/org/guavathread/router/scenario/FleetSteps.java
@@ -0,0 +1,27 @@
+package org.guavathread.router.scenario;
+
+import java.io.IOException;
+
+import io.cucumber.java.After;
+import io.cucumber.java.AfterAll;
+import io.cucumber.java.en.Given;
+
+/** Starts the fleet and cleans up after each scenario. */
+public class FleetSteps {
+
+    @Given("a fleet of three hosts that may act")
+    public void fleet() throws IOException, InterruptedException {
+        TestFleet.get().awaitReady();
+    }
+
+    @After
+    public void reset() throws IOException, InterruptedException {
+        TestFleet.get().reset();
+    }
+
+    /** Ends all processes, also after a failure. */
+    @AfterAll
+    public static void end() {
+        TestFleet.stop();
+    }
+}
--- a/guavathread-standin/src/main/java/org/guavathread/standin/FakePlainService.java
+++ b/guavathread-standin/src/main/java/org/guavathread/standin/FakePlainService.java
@@ -12,7 +12,7 @@
 /**
  * A plain service that records each run and answers with what it got:
  * {@code {"requestId":…,"method":…,"path":…,"run":N,"echo":BODY}}. If the request is a JSON object with a field
- * {@code answer}, that field is the whole answer.
+ * {@code answer}, that field is the whole answer. A field {@code runMillis} replaces the time that the run takes.
  *
  * <p>{@code GET /standin/runs?header=Idempotency-Key&value=k1} counts runs as {@link #runsWith} does.
  */
@@ -72,10 +72,19 @@
         int number = record(call);
         countRun(call.header(Call.REQUEST_ID));
         JsonNode answer = answerTo(call, number);
-        if (runMillis <= 0) {
+        long millis = runMillisOf(call);
+        if (millis <= 0) {
             call.answer(200, answer);
         } else {
-            later(runMillis, () -> call.answer(200, answer));
+            later(millis, () -> call.answer(200, answer));
+        }
+    }
+
+    private long runMillisOf(Call call) {
+        try {
+            return call.json().path("runMillis").asLong(runMillis);
+        } catch (IOException e) {
+            return runMillis;
         }
     }
 
