Say unknown when a dispatched call is refused

Cause: a call of a plain service was marked as dispatched only after it had failed. A key withdrawn while the call ran, or the drain deadline, refused it with not_run, and a call whose budget arrived late could still be sent after that refusal.

Change: a call is marked before it is sent and is not sent after its refusal; the mark is taken back if nothing was sent.

Figures: before, the scenario "A key is withdrawn while a booking runs" got KEY_UNKNOWN with not_run of a booking that had run once.

--- a/guavathread-router/src/main/java/org/guavathread/router/flow/PlainFlow.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/PlainFlow.java
@@ -138,10 +138,20 @@
         }
         BackendServerId server = chosen.get().id();
         tried.add(server);
+        boolean sentBefore = context.isDispatched();
+        if (!context.beginDispatch()) {
+            synchronized (choice) {
+                choice.ended(server, false, now);
+            }
+            return;
+        }
         send(context, server, context.firstByteDeadlineMillis()).whenComplete((answer, failure) -> {
             if (failure == null) {
                 context.answer(answer.status(), headersOf(answer), answer.body());
             } else {
+                if (!sentBefore && Failures.isNotSent(failure)) {
+                    context.nothingSent();
+                }
                 failed(context, server, tried, failure);
             }
         });
@@ -154,7 +164,6 @@
             call(context, tried);
             return;
         }
-        context.markDispatched();
         if (retries.tryRetry(context.id(), context.kind())) {
             call(context, tried);
             return;
--- a/guavathread-router/src/main/java/org/guavathread/router/flow/RequestContext.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/RequestContext.java
@@ -22,6 +22,7 @@
     private final Optional<KeyRing.Owner> owner;
     private final ActiveRequests active;
     private volatile boolean dispatched;
+    private boolean refused;
 
     RequestContext(CallerExchange exchange, Route route, Optional<KeyRing.Owner> owner, ActiveRequests active) {
         this.exchange = exchange;
@@ -70,6 +71,20 @@
         return exchange.arrivedAtMillis() + route.timeoutMillis();
     }
 
+    /** Notes that the request is about to be sent; false if it was refused, so that it must not be sent any more. */
+    synchronized boolean beginDispatch() {
+        if (refused) {
+            return false;
+        }
+        dispatched = true;
+        return true;
+    }
+
+    /** Takes back {@link #beginDispatch} for a request of which nothing was sent. */
+    synchronized void nothingSent() {
+        dispatched = false;
+    }
+
     /** Notes that a backend server may have begun to work on the request. */
     void markDispatched() {
         dispatched = true;
@@ -88,7 +103,11 @@
      * key whose earlier sends may have run, becomes {@code unknown} unless the claim proved it.
      */
     void refuse(Refusal refusal) {
-        boolean proven = !dispatched && idempotencyKey().isEmpty();
+        boolean proven;
+        synchronized (this) {
+            proven = !dispatched && idempotencyKey().isEmpty();
+            refused = true;
+        }
         refuseAsStated(
                 proven
                         ? refusal
