Let a host without a sheet always read the configuration service

Cause: a host that was started again while its peers knew it heard from them that another host reads the service, so it did not read itself; with a host list that does not name the peers it stayed without a sheet for as long as it was watched, 100 s. Change: the rule that leaves reading to others needs a sheet. The new test fails on the old rule.

--- a/guavathread-core/src/main/java/org/guavathread/core/config/ServiceReader.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/config/ServiceReader.java
@@ -135,7 +135,9 @@
 
     private boolean mustRead(long nowMillis) {
         boolean otherReads = nowMillis - otherContactAtMillis < CONTACT_VALID_MILLIS;
-        if (firstRank || !otherReads) {
+        // Without a sheet this host cannot reach its peers, so that others read is of no use to it.
+        boolean hasSheet = !ranking.isEmpty();
+        if (firstRank || !otherReads || !hasSheet) {
             return true;
         }
         boolean reading = nowMillis - ownSuccessAtMillis < CONTACT_VALID_MILLIS;
