--- /dev/null
+++ b/guavathread-core/src/test/java/org/guavathread/core/config/StartWithoutSheetTest.java
@@ -0,0 +1,34 @@
+package org.guavathread.core.config;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.id.Incarnation;
+import org.guavathread.core.id.SheetVersion;
+import org.guavathread.core.membership.PeerReport;
+import org.guavathread.core.membership.ServiceContact;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against a restarted host that stays without a sheet because its peers say that they read the service. */
+class StartWithoutSheetTest {
+
+    private static final long START = 1_000_000;
+
+    @Test
+    void hostWithoutSheetReadsTheServiceAlthoughOthersDo() {
+        HostId other = new HostId("other");
+        ConfigSpread spread = new ConfigSpread(new HostId("self"), new Random(1), START).hostList(List.of());
+        PeerReport report = new PeerReport(
+                new Incarnation(1), new SheetVersion(7), false, 0, Optional.of(new ServiceContact(other, 0)));
+        boolean read = false;
+        for (long now = START; now < START + 10_000; now += 100) {
+            spread.onPeerReport(other, report, now);
+            read |= spread.onTick(now).stream().anyMatch(ConfigAction.ReadService.class::isInstance);
+        }
+        assertTrue(read, "the host must call the service while it has no sheet");
+    }
+}
