Probe a backend server before its broken connection counts as a crash

Change: the host asks the server for an answer on a new request first, and reports a crash only if there is none within 500 ms.

--- a/guavathread-router/src/main/java/org/guavathread/router/Daemon.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/Daemon.java
@@ -130,7 +130,7 @@
                 self, incarnation, fleet, network, random, drain::isDraining, peerSupervisor, clock);
         claims = new ClaimService(self, incarnation, fleet, network, random, peerSupervisor, clock);
         limits = new LimitService(self, fleet, network, random::nextLong, peerSupervisor, clock);
-        retries = new RetryService(self, fleet, network, clock);
+        retries = new RetryService(self, fleet, network, backends, clock);
         configuration = new ConfigurationService(
                 self,
                 fleet,
--- a/guavathread-router/src/main/java/org/guavathread/router/backend/BackendRegistry.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/backend/BackendRegistry.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.guavathread.core.id.BackendServerId;
@@ -10,6 +11,7 @@
 import org.guavathread.core.sheet.Sheet;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.router.http.HttpClient;
+import org.guavathread.router.http.HttpRequest;
 
 /** Holds one adapter for each backend server of the sheet. Thread-safe. */
 public final class BackendRegistry {
@@ -98,6 +100,24 @@
         return Optional.ofNullable(entries.get(id)).map(e -> e.server().address());
     }
 
+    /**
+     * Tells whether a backend server answers on a new request, to tell a crash from a connection that broke.
+     *
+     * @param id its name
+     * @param deadlineMillis time by which it must have answered, in ms since the epoch
+     * @return true if it answered anything; false if it did not or the sheet no longer lists it
+     */
+    public CompletableFuture<Boolean> answers(BackendServerId id, long deadlineMillis) {
+        Entry entry = entries.get(id);
+        if (entry == null) {
+            return CompletableFuture.completedFuture(false);
+        }
+        // OPTIONS is defined as safe, so that a plain service may get it at any time.
+        HttpRequest probe =
+                HttpRequest.of("OPTIONS", "/").deadlineMillis(deadlineMillis).build();
+        return client.send(entry.server().address(), probe).handle((answer, failure) -> failure == null);
+    }
+
     private <T> Optional<T> find(BackendServerId id, Class<T> type) {
         return Optional.ofNullable(entries.get(id))
                 .map(Entry::adapter)
--- a/guavathread-router/src/main/java/org/guavathread/router/flow/LanguageRun.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/LanguageRun.java
@@ -317,7 +317,7 @@
     /** A resend of the same request is recognised by its fingerprint, whichever host gets it. */
     private void reportCrash(BackendServerId server, Throwable failure) {
         if (Failures.isConnectionLost(failure)) {
-            services.retries().serverCrashed(server, List.of(request.fingerprint(context.workspace())));
+            services.retries().connectionLost(server, request.fingerprint(context.workspace()));
         }
     }
 
--- a/guavathread-router/src/main/java/org/guavathread/router/flow/PlainFlow.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/PlainFlow.java
@@ -238,7 +238,7 @@
                 choice.ended(server, failure != null, clock.nowMillis());
             }
             if (Failures.isConnectionLost(failure)) {
-                fingerprint(context).ifPresent(f -> retries.serverCrashed(server, List.of(f)));
+                fingerprint(context).ifPresent(f -> retries.connectionLost(server, f));
             }
         });
     }
--- a/guavathread-router/src/main/java/org/guavathread/router/service/RetryService.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/service/RetryService.java
@@ -1,6 +1,5 @@
 package org.guavathread.router.service;
 
-import java.util.Collection;
 import java.util.List;
 
 import org.guavathread.core.id.BackendServerId;
@@ -12,6 +11,7 @@
 import org.guavathread.core.retry.Fingerprint;
 import org.guavathread.core.retry.RetryBudget;
 import org.guavathread.core.time.Clock;
+import org.guavathread.router.backend.BackendRegistry;
 import org.guavathread.router.fleet.FleetSnapshot;
 import org.guavathread.router.fleet.FleetState;
 import org.guavathread.router.peer.PeerNetwork;
@@ -22,9 +22,13 @@
     private static final int OWNERS = 2;
     private static final int FAN_OUT = 4;
 
+    /** A crashed engine takes seconds to come back, since it loads its weights again. */
+    private static final long PROBE_MILLIS = 500;
+
     private final HostId self;
     private final FleetState fleet;
     private final PeerNetwork network;
+    private final BackendRegistry backends;
     private final Clock clock;
     private final RetryBudget budget = new RetryBudget();
     private final CrashFingerprints crashes = new CrashFingerprints();
@@ -35,12 +39,14 @@
      * @param self this host
      * @param fleet what is known about the fleet
      * @param network the way to other hosts
+     * @param backends tells whether a backend server still answers
      * @param clock source of the time
      */
-    public RetryService(HostId self, FleetState fleet, PeerNetwork network, Clock clock) {
+    public RetryService(HostId self, FleetState fleet, PeerNetwork network, BackendRegistry backends, Clock clock) {
         this.self = self;
         this.fleet = fleet;
         this.network = network;
+        this.backends = backends;
         this.clock = clock;
     }
 
@@ -97,14 +103,23 @@
     }
 
     /**
-     * Reports requests that ran on a backend server when its connection broke.
+     * Reports a request whose connection to a backend server broke. It counts as a crash only if the server does not
+     * answer a new request either, because a connection can break for other reasons.
      *
      * @param server the backend server
-     * @param running fingerprints of the requests
+     * @param running fingerprint of the request
      */
-    public void serverCrashed(BackendServerId server, Collection<Fingerprint> running) {
+    public void connectionLost(BackendServerId server, Fingerprint running) {
+        backends.answers(server, clock.nowMillis() + PROBE_MILLIS).thenAccept(answers -> {
+            if (!answers) {
+                serverCrashed(server, running);
+            }
+        });
+    }
+
+    private void serverCrashed(BackendServerId server, Fingerprint running) {
         synchronized (crashes) {
-            deliver(crashes.serverCrashed(server, running, this::ownersOf, clock.nowMillis()));
+            deliver(crashes.serverCrashed(server, List.of(running), this::ownersOf, clock.nowMillis()));
         }
     }
 
