--- /dev/null
+++ b/guavathread-router/src/test/resources/scenarios/04-crash.feature
@@ -0,0 +1,11 @@
+Feature: A request that crashes backend servers is stopped
+
+  Background:
+    Given a fleet of three hosts that may act
+
+  # Guards against a request that takes down one engine after another because its caller sends it again.
+  Scenario: A prompt crashes the prefill engines that run it
+    Given prefill engines crash on a marked prompt and start again after 3 s
+    When the marked prompt is sent until two engines have crashed
+    Then each host refuses the marked prompt as CRASH_SUSPECT and no further engine crashes
+    And each host answers other prompts again
