Use one rule for isolated hosts and one name for requests held by engines

The rule of 10 s without an answer stood in ConfigSpread and in IsolationDetector; two record types of the same name described a request on an engine. Behaviour is unchanged for a host with a sheet.

--- a/guavathread-core/src/main/java/org/guavathread/core/config/ConfigSpread.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/config/ConfigSpread.java
@@ -12,10 +12,10 @@
 
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.id.SheetVersion;
+import org.guavathread.core.key.IsolationDetector;
 import org.guavathread.core.membership.PeerReport;
 import org.guavathread.core.membership.ServiceContact;
 import org.guavathread.core.sheet.Host;
-import org.guavathread.core.sheet.Sheet;
 import org.guavathread.core.sheet.SheetManifest;
 import org.guavathread.core.sheet.SheetReader;
 import org.guavathread.core.sheet.SheetReading;
@@ -35,9 +35,6 @@
     /** Peers that a host offers a new version to; 4 reach 98% of the fleet, and heartbeats the rest. */
     static final int OFFERS = 4;
 
-    /** Silence of the service and of all peers after which a host is isolated, in milliseconds. */
-    static final long ISOLATED_AFTER_MILLIS = 10_000;
-
     /** A refused version is not fetched again from peers for this long. */
     private static final long REFUSED_PAUSE_MILLIS = 10_000;
 
@@ -380,10 +377,11 @@
      * @return true if neither the service nor any peer has answered for 10 s; never in a fleet of one active host
      */
     public boolean isIsolated(long nowMillis) {
-        boolean single =
-                acceptance.inForce().map(Sheet::activeHosts).map(List::size).orElse(0) == 1 && activePeers.isEmpty();
-        long heard = Math.max(heardPeerAtMillis, reader.ownSuccessAtMillis());
-        return !single && nowMillis - heard >= ISOLATED_AFTER_MILLIS;
+        long heardAtMillis = Math.max(heardPeerAtMillis, reader.ownSuccessAtMillis());
+        return acceptance
+                .inForce()
+                .map(sheet -> new IsolationDetector(heardAtMillis).isIsolated(sheet, nowMillis))
+                .orElse(nowMillis - heardAtMillis >= IsolationDetector.ISOLATED_AFTER_MILLIS);
     }
 
     /**
--- a/guavathread-core/src/main/java/org/guavathread/core/orphan/EngineRequest.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/orphan/HeldRequest.java
@@ -11,4 +11,4 @@
  * @param host the host that sent it
  * @param incarnation the run of that host's process
  */
-public record EngineRequest(RequestId request, HostId host, Incarnation incarnation) {}
+public record HeldRequest(RequestId request, HostId host, Incarnation incarnation) {}
--- a/guavathread-core/src/main/java/org/guavathread/core/orphan/OrphanSweep.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/orphan/OrphanSweep.java
@@ -127,11 +127,11 @@
      */
     public List<RequestId> listed(
             BackendServerId engine,
-            List<EngineRequest> listed,
+            List<HeldRequest> listed,
             BiPredicate<BackendServerId, RequestId> expected,
             long nowMillis) {
         List<RequestId> cancel = new ArrayList<>();
-        for (EngineRequest each : listed) {
+        for (HeldRequest each : listed) {
             boolean orphan = each.host().equals(self) && each.incarnation().equals(incarnation)
                     ? !expected.test(engine, each.request())
                     : isSuperseded(each) || (owned.contains(engine) && isLost(each.host(), nowMillis));
@@ -142,7 +142,7 @@
         return cancel;
     }
 
-    private boolean isSuperseded(EngineRequest each) {
+    private boolean isSuperseded(HeldRequest each) {
         Incarnation known = newest.get(each.host());
         return known != null && known.isAfter(each.incarnation());
     }
--- a/guavathread-core/src/test/java/org/guavathread/core/placement/ScheduleWorld.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/placement/ScheduleWorld.java
@@ -17,7 +17,7 @@
 import org.guavathread.core.id.RegionId;
 import org.guavathread.core.id.RequestId;
 import org.guavathread.core.id.WorkspaceId;
-import org.guavathread.core.orphan.EngineRequest;
+import org.guavathread.core.orphan.HeldRequest;
 import org.guavathread.core.orphan.OrphanSweep;
 import org.guavathread.core.orphan.ReservationTable;
 import org.guavathread.core.request.RequestKind;
@@ -42,7 +42,7 @@
     final Map<RequestId, Integer> answers = new HashMap<>();
     final Map<RequestId, PlaceRequest> asked = new HashMap<>();
     final Set<RequestId> cancelled = new HashSet<>();
-    final Map<BackendServerId, Map<RequestId, EngineRequest>> engines = new TreeMap<>();
+    final Map<BackendServerId, Map<RequestId, HeldRequest>> engines = new TreeMap<>();
     long now = 1_000_000;
     long lastAnswerDelay;
 
@@ -135,7 +135,7 @@
             }
             ReservationTable table = tables.get(h);
             for (BackendServerId engine : sweeps.get(h).due(now)) {
-                List<EngineRequest> listed = List.copyOf(engines.get(engine).values());
+                List<HeldRequest> listed = List.copyOf(engines.get(engine).values());
                 sweeps.get(h).listed(engine, listed, table::expects, now).forEach(engines.get(engine)::remove);
             }
         }
@@ -227,9 +227,7 @@
     private void start(PlaceRequest request, BackendServerId engine) {
         if (!dead[hostOf(request)] && tables.get(hostOf(request)).expects(engine, request.request())) {
             engines.get(engine)
-                    .put(
-                            request.request(),
-                            new EngineRequest(request.request(), request.host(), request.incarnation()));
+                    .put(request.request(), new HeldRequest(request.request(), request.host(), request.incarnation()));
         }
     }
 
--- a/guavathread-router/src/main/java/org/guavathread/router/service/EngineMonitor.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/service/EngineMonitor.java
@@ -12,6 +12,7 @@
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.id.Incarnation;
 import org.guavathread.core.id.RequestId;
+import org.guavathread.core.orphan.HeldRequest;
 import org.guavathread.core.orphan.OrphanSweep;
 import org.guavathread.core.placement.CacheEvent;
 import org.guavathread.core.placement.Grant;
@@ -206,8 +207,8 @@
     }
 
     private void cancelOrphans(PlacementService.State state, BackendServerId id, List<EngineRequest> listed) {
-        List<org.guavathread.core.orphan.EngineRequest> requests = listed.stream()
-                .map(r -> new org.guavathread.core.orphan.EngineRequest(
+        List<HeldRequest> requests = listed.stream()
+                .map(r -> new HeldRequest(
                         r.requestId(), r.owner().host(), r.owner().incarnation()))
                 .toList();
         for (RequestId orphan : sweep.listed(id, requests, state.reservations()::expects, clock.nowMillis())) {
