Give back the charge of plain calls that did not run

Cause: admitted plain calls never reported their end to the limits, so a call that was refused after its budget was taken kept its charge. A service also counted as busy when the deadline had passed before the call. Change: the end of a call returns its charge unless it was dispatched.

--- a/guavathread-router/src/main/java/org/guavathread/router/flow/ActiveRequests.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/ActiveRequests.java
@@ -148,6 +148,7 @@
         boolean first = entries.remove(context.id()) != null;
         onEnd.accept(context.id());
         if (first) {
+            context.ended();
             metrics.countRequest(context.route(), outcome);
         }
         synchronized (keyedWork) {
--- a/guavathread-router/src/main/java/org/guavathread/router/flow/PlainFlow.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/PlainFlow.java
@@ -101,6 +101,9 @@
             context.refuse(Refusal.notRun(RefusalCode.KEY_UNKNOWN, "The API key was withdrawn; use another key."));
             return;
         }
+        // A call that did not run gives its whole charge back; for an uncharged one this has no effect.
+        context.onEnd(() -> limits.end(
+                context.id(), context.isDispatched() ? 0 : context.route().costTokens()));
         retries.requestStarted();
         if (key.isPresent()) {
             claim(context, key.get());
@@ -132,6 +135,10 @@
     /** Calls one service; on a failure tries another one if the kind, or the fact that nothing was sent, allows it. */
     private void call(RequestContext context, Set<BackendServerId> tried) {
         long now = clock.nowMillis();
+        if (now >= context.firstByteDeadlineMillis()) {
+            context.refuse(context.deadlinePassed());
+            return;
+        }
         Optional<BackendServer> chosen = choose(context, tried, now);
         if (chosen.isEmpty()) {
             context.refuse(Refusal.notRun(
@@ -139,10 +146,6 @@
                     "No backend server of route " + context.route().id() + " is left to try; check the sheet."));
             return;
         }
-        if (now >= context.firstByteDeadlineMillis()) {
-            context.refuse(context.deadlinePassed());
-            return;
-        }
         BackendServerId server = chosen.get().id();
         tried.add(server);
         boolean sentBefore = context.isDispatched();
--- a/guavathread-router/src/main/java/org/guavathread/router/flow/RequestContext.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/flow/RequestContext.java
@@ -23,6 +23,7 @@
     private final ActiveRequests active;
     private volatile boolean dispatched;
     private boolean refused;
+    private volatile Runnable afterEnd = () -> {};
 
     RequestContext(CallerExchange exchange, Route route, Optional<KeyRing.Owner> owner, ActiveRequests active) {
         this.exchange = exchange;
@@ -94,6 +95,15 @@
         return dispatched;
     }
 
+    /** Sets what runs once when the request has ended. */
+    void onEnd(Runnable action) {
+        afterEnd = action;
+    }
+
+    void ended() {
+        afterEnd.run();
+    }
+
     void trace(String step) {
         active.traces().add(id(), step);
     }
