--- a/guavathread-bench/src/main/java/org/guavathread/bench/configuration/ConfigurationScenario.java
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/configuration/ConfigurationScenario.java
@@ -17,7 +17,7 @@
 /** Measures how fast a version is in force everywhere, and what that costs the service and the hosts. */
 public final class ConfigurationScenario implements Scenario {
 
-    private static final int[] FLEET_SIZES = {8, 64, 410};
+    private static final int[] FLEET_SIZES = {8, 32, 64, 128, 410};
     private static final int ROUNDS = 5;
     private static final long SETTLE_MILLIS = 12_000;
     private static final long GIVE_UP_MILLIS = 30_000;
--- a/guavathread-router/src/main/java/org/guavathread/router/Daemon.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/Daemon.java
@@ -76,6 +76,7 @@
     private final ClaimService claims;
     private final PlacementService placement;
     private final RetryService retries;
+    private final OrderService orders;
     private final PeerNetwork network;
     private final CountDownLatch stopped = new CountDownLatch(1);
 
@@ -146,7 +147,7 @@
                 self, incarnation, settings.dataCentre(), fleet, network, backends, metrics, backendSupervisor, clock);
         active.onEnd(retries::requestEnded);
         registerMessages(router);
-        new OrderService(
+        orders = new OrderService(
                 self,
                 fleet,
                 backends,
@@ -279,7 +280,8 @@
                 "config", configuration::backlog,
                 "limits", limits::backlog,
                 "claims", claims::backlog,
-                "placement", placement::backlog);
+                "placement", placement::backlog,
+                "orders", orders::backlog);
     }
 
     private void sheetChanged() {
--- a/guavathread-router/src/main/java/org/guavathread/router/admin/AdminPages.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/admin/AdminPages.java
@@ -119,6 +119,18 @@
                 "guavathread_sheet_version",
                 "Version of the sheet in force.",
                 () -> fleet.now().sheet().version().value());
+        metrics.gauge(
+                "guavathread_cell_queued_requests",
+                "Requests of any host that wait in the cells of this host.",
+                placement::queuedRequests);
+        metrics.gauge(
+                "guavathread_cell_reservations",
+                "Reservations of any host in the cells of this host.",
+                placement::openReservations);
+        metrics.gauge(
+                "guavathread_worst_workspace_admitted_share",
+                "Share of its requests that the worst-served workspace got admitted here since the start, 0 to 1.",
+                this::worstAdmittedShare);
         metrics.gauge(
                 "guavathread_sheet_age_seconds", "Time since the sheet in force was accepted here.", this::sheetAge);
         metrics.gauge("guavathread_active_requests", "Requests that were accepted and have not ended.", active::count);
@@ -135,6 +147,11 @@
         metrics.gauge("guavathread_draining", "1 while this host is shutting down.", () -> drain.isDraining() ? 1 : 0);
     }
 
+    private double worstAdmittedShare() {
+        List<WorkspaceUsage.Row> rows = usage.rows();
+        return rows.isEmpty() ? 1 : rows.get(0).admittedShare();
+    }
+
     private double sheetAge() {
         long at = configuration.acceptedAtMillis();
         return at == 0 ? Double.NaN : (clock.nowMillis() - at) / 1_000.0;
--- a/guavathread-router/src/main/java/org/guavathread/router/service/PlacementService.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/service/PlacementService.java
@@ -66,6 +66,8 @@
     private final Clock clock;
     private final EngineMonitor monitor;
     private final Duty<State> duty;
+    private volatile int queuedRequests;
+    private volatile int openReservations;
 
     /**
      * What a request needs, before its cell is chosen.
@@ -288,6 +290,24 @@
         return duty.backlog();
     }
 
+    /**
+     * Gives how many requests waited in the cells of this host at the last tick.
+     *
+     * @return the number of requests, of any host
+     */
+    public int queuedRequests() {
+        return queuedRequests;
+    }
+
+    /**
+     * Gives how many reservations the cells of this host held at the last tick.
+     *
+     * @return the number of reservations, of any host
+     */
+    public int openReservations() {
+        return openReservations;
+    }
+
     private boolean onDuty(Consumer<State> task) {
         return duty.offer(task);
     }
@@ -404,6 +424,8 @@
             state.reservations.renewals().forEach(renew -> toOwner(state, renew.cell(), renew));
         }
         monitor.tick(state, fleet.now(), nowMillis);
+        queuedRequests = state.owner.queuedRequests();
+        openReservations = state.owner.openReservations();
     }
 
     /** Splits the engines into cells once for each sheet, because the split ranks all engines. */
