--- a/guavathread-bench/src/main/java/org/guavathread/bench/overhead/OverheadScenario.java
+++ b/guavathread-bench/src/main/java/org/guavathread/bench/overhead/OverheadScenario.java
@@ -16,6 +16,7 @@
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
 import org.guavathread.bench.Scenario;
+import org.guavathread.router.log.Logs;
 
 /** Measures a plain call directly and through the router, one at a time and at 500 a second, in the same run. */
 public final class OverheadScenario implements Scenario {
@@ -44,6 +45,7 @@
     @Override
     public List<Map<String, Object>> run(long seed) {
         List<Map<String, Object>> rows = new ArrayList<>();
+        Logs.configure("warn");
         try (LocalFleet fleet = LocalFleet.start(3)) {
             HttpRequest direct = request(fleet.serviceUri(), null);
             HttpRequest routed = request(fleet.routedUri(), LocalFleet.API_KEY);
