Split the engines into cells once for each sheet

Cause: the placement duty ranked all engines of all models and regions again every 500 ms to find the cells that it owns, although the split changes only with the sheet; a time of the last heartbeat was kept that nothing read. Change: the split is kept with the sheet and only the owners are computed again; the unread time is gone.

--- a/guavathread-router/src/main/java/org/guavathread/router/fleet/MembershipService.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/fleet/MembershipService.java
@@ -50,7 +50,6 @@
     private final BooleanSupplier draining;
     private final Clock clock;
     private final Duty<State> duty;
-    private volatile long heardPeerAtMillis;
     private volatile BiConsumer<HostId, PeerReport> onReport = (host, report) -> {};
     private volatile Supplier<Optional<ServiceContact>> serviceContact = Optional::empty;
 
@@ -144,15 +143,6 @@
         onReport = action;
     }
 
-    /**
-     * Gives when any peer was last heard of.
-     *
-     * @return milliseconds since the epoch, 0 if none ever was
-     */
-    public long heardPeerAtMillis() {
-        return heardPeerAtMillis;
-    }
-
     /**
      * Lists the other hosts.
      *
@@ -233,8 +223,7 @@
     }
 
     private void report(State state, HostId from, PeerReport report) {
-        heardPeerAtMillis = clock.nowMillis();
-        state.peers.onReport(from, report, heardPeerAtMillis);
+        state.peers.onReport(from, report, clock.nowMillis());
         onReport.accept(from, report);
     }
 
--- a/guavathread-router/src/main/java/org/guavathread/router/service/PlacementService.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/service/PlacementService.java
@@ -1,5 +1,6 @@
 package org.guavathread.router.service;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -112,6 +113,7 @@
         private final Map<RequestId, Waiting> waiting = new HashMap<>();
         private final Map<RequestId, CellId> cellsByRequest = new HashMap<>();
         private final Map<ModelId, List<CellId>> cellsByModel = new HashMap<>();
+        private final List<Cell> allCells = new ArrayList<>();
         private Sheet cellsOfSheet;
         private long followAtMillis;
         private long renewAtMillis;
@@ -436,8 +438,11 @@
         }
         state.cellsOfSheet = sheet;
         state.cellsByModel.clear();
+        state.allCells.clear();
+        List<RegionId> regions = regionsOf(sheet);
         for (ModelId model : sheet.models().keySet()) {
             state.cellsByModel.put(model, cellsNearby(sheet, model));
+            regions.forEach(region -> state.allCells.addAll(CellChoice.cells(sheet, model, region)));
         }
         state.choice.retain(
                 state.cellsByModel.values().stream().flatMap(List::stream).toList());
@@ -470,17 +475,9 @@
     }
 
     private void followOwnership(State state, long nowMillis) {
-        Sheet sheet = fleet.now().sheet();
-        List<Cell> owned = new java.util.ArrayList<>();
-        for (ModelId model : sheet.models().keySet()) {
-            for (RegionId region : regionsOf(sheet)) {
-                for (Cell cell : CellChoice.cells(sheet, model, region)) {
-                    if (ownerOf(cell.id()).filter(self::equals).isPresent()) {
-                        owned.add(cell);
-                    }
-                }
-            }
-        }
-        state.owner.ownedCells(owned, sheet, nowMillis);
+        List<Cell> owned = state.allCells.stream()
+                .filter(cell -> ownerOf(cell.id()).filter(self::equals).isPresent())
+                .toList();
+        state.owner.ownedCells(owned, state.cellsOfSheet, nowMillis);
     }
 }
