Keep the order of a connection's bytes while its request is served

Cause: ConnectionGuard held back one early read. Grizzly enables reading again when an answer ends, so a second read could replace the first, or pass to the codec on another thread while the first was being parsed: a body was lost and its request refused after 10 s.

Now reads of a connection go on to the codec one after the other; the others wait in order. Ruled out before: one thread for each connection, and holding reads until the codec has ended the request before (both lost the middle of long chunked bodies).

Before: CallerServerTest#bodyThatFollowsItsHeadInASegmentOfItsOwnIsNotLost failed now and then.

--- a/guavathread-router/src/main/java/org/guavathread/router/caller/CallerServer.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/CallerServer.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.ReadHandler;
 import org.glassfish.grizzly.http.io.NIOInputStream;
 import org.glassfish.grizzly.http.server.HttpHandler;
@@ -143,7 +144,7 @@
                 return;
             }
             receiving.put(reader, Boolean.TRUE);
-            request.getNIOInputStream().notifyAvailable(reader);
+            reader.awaitMore();
         }
     }
 
@@ -170,7 +171,16 @@
                 refuseTooLarge();
                 return;
             }
+            awaitMore();
+        }
+
+        private void awaitMore() {
+            // The request is recycled when its answer ends, which may be before this call returns.
+            Connection<?> connection = request.getRequest().getConnection();
             in.notifyAvailable(this);
+            if (receiving.containsKey(this)) {
+                guard.bodyAwaited(connection);
+            }
         }
 
         @Override
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/ConnectionGuard.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/ConnectionGuard.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -31,9 +33,20 @@
  */
 final class ConnectionGuard extends BaseFilter implements AddOn {
 
+    /** Where a connection is between two requests; decides whether bytes may go on to the codec. */
+    private enum Intake {
+        /** The codec may take bytes of a head or body. */
+        OPEN,
+        /** Bytes are with the codec on another thread; later ones must not overtake them. */
+        PASSING,
+        /** A request is complete and has no whole answer yet. */
+        SERVING
+    }
+
     private static final class State {
-        private boolean serving;
-        private FilterChainContext early;
+        private Intake intake = Intake.OPEN;
+        private FilterChainContext passing;
+        private final Deque<FilterChainContext> held = new ArrayDeque<>();
         private HeadScanner head = new HeadScanner();
         private volatile long headersDeadlineMillis = Long.MAX_VALUE;
     }
@@ -69,12 +82,16 @@
     public NextAction handleRead(FilterChainContext ctx) {
         State state = states.get(ctx.getConnection());
         synchronized (state) {
-            if (state.serving) {
-                state.early = ctx;
+            boolean isNext = state.passing == ctx;
+            if (!isNext && (state.intake != Intake.OPEN || !state.held.isEmpty())) {
+                state.held.add(ctx);
                 ctx.suspend();
                 return ctx.getSuspendAction();
             }
+            state.intake = Intake.PASSING;
+            state.passing = ctx;
         }
+        ctx.addCompletionListener(context -> passed(state, context));
         if (state.headersDeadlineMillis == Long.MAX_VALUE) {
             state.headersDeadlineMillis = clock.nowMillis() + CallerLimits.RECEIVE_DEADLINE_MILLIS;
         }
@@ -131,11 +148,44 @@
         }
     }
 
+    /** Notes that the codec has taken all bytes that it was given, and that more of a body may follow. */
+    void bodyAwaited(Connection<?> connection) {
+        State state = states.get(connection);
+        settle(state, Intake.PASSING);
+    }
+
+    /** Notes that the codec is done with some bytes, which may have been no whole head or no part of a body. */
+    private void passed(State state, FilterChainContext ctx) {
+        synchronized (state) {
+            if (state.passing != ctx) {
+                return;
+            }
+        }
+        settle(state, Intake.PASSING);
+    }
+
+    /** Opens the intake if it is in a given state, and passes on the bytes that were held back first. */
+    private static void settle(State state, Intake from) {
+        FilterChainContext next;
+        synchronized (state) {
+            if (state.intake != from) {
+                return;
+            }
+            next = state.held.poll();
+            state.intake = next == null ? Intake.OPEN : Intake.PASSING;
+            state.passing = next;
+        }
+        if (next != null) {
+            next.resume();
+        }
+    }
+
     /** Notes that a request is complete, and watches for the end of the connection from now on. */
     void serving(Connection<?> connection) {
         State state = states.get(connection);
         synchronized (state) {
-            state.serving = true;
+            state.intake = Intake.SERVING;
+            state.passing = null;
         }
         try {
             connection.enableIOEvent(IOEvent.READ);
@@ -147,17 +197,11 @@
     /** Notes that Grizzly has finished with a request, and passes on what arrived in the meantime. */
     void served(Connection<?> connection) {
         State state = states.get(connection);
-        FilterChainContext early;
         synchronized (state) {
-            state.serving = false;
             state.head = new HeadScanner();
-            early = state.early;
-            state.early = null;
         }
         state.headersDeadlineMillis = Long.MAX_VALUE;
-        if (early != null) {
-            early.resume();
-        }
+        settle(state, Intake.SERVING);
     }
 
     void expire(long nowMillis) {
--- a/guavathread-router/src/test/java/org/guavathread/router/caller/CallerServerTest.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/caller/CallerServerTest.java
@@ -119,6 +119,58 @@
         assertEquals(null, failure.get());
     }
 
+    /** Guards against parts of a long body that overtake each other or are lost, on connections that are reused. */
+    @Test
+    void longChunkedBodiesOnKeptConnectionsArriveWhole() throws Exception {
+        AtomicReference<Throwable> failure = new AtomicReference<>();
+        List<Thread> callers = new ArrayList<>();
+        for (int caller = 0; caller < 6; caller++) {
+            Thread thread = new Thread(() -> {
+                try (Socket socket = connect()) {
+                    socket.setTcpNoDelay(true);
+                    for (int i = 0; i < 100; i++) {
+                        sendInChunks(socket, i);
+                        String answer = readUntil(socket, "end-of-" + i);
+                        int begin = answer.indexOf("POST /echo ") + "POST /echo ".length();
+                        assertEquals(bodyOf(i), answer.substring(begin), "request " + i);
+                    }
+                } catch (IOException | AssertionError e) {
+                    failure.set(e);
+                }
+            });
+            callers.add(thread);
+            thread.start();
+        }
+        for (Thread thread : callers) {
+            thread.join();
+        }
+        assertEquals(null, failure.get());
+    }
+
+    private static String bodyOf(int number) {
+        StringBuilder body = new StringBuilder();
+        for (int part = 0; part < 40; part++) {
+            body.append("part ").append(part).append(" of ").append(number).append(";".repeat(part * 37));
+        }
+        return body.append("end-of-").append(number).toString();
+    }
+
+    /** Sends a head, and chunks whose borders differ from those of the segments. */
+    private static void sendInChunks(Socket socket, int number) throws IOException {
+        send(socket, "POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+        String body = bodyOf(number);
+        StringBuilder chunked = new StringBuilder();
+        for (int at = 0; at < body.length(); at += 700) {
+            String chunk = body.substring(at, Math.min(body.length(), at + 700));
+            chunked.append(Integer.toHexString(chunk.length())).append("\r\n");
+            chunked.append(chunk).append("\r\n");
+        }
+        chunked.append("0\r\n\r\n");
+        for (int at = 0; at < chunked.length(); at += 997) {
+            send(socket, chunked.substring(at, Math.min(chunked.length(), at + 997)));
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
