Ask hosts with a larger view for all their reports, and pass on first what was passed on least

Cause: a datagram passes on 8 reports, so 410 hosts would have needed minutes to know each other. A host that hears of a larger view now asks for all reports, once in some seconds, and any of the hosts that are ahead. Ruled out by the test: passing on rarely passed reports alone (410 hosts did not find each other within 20 s).

--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -29,6 +30,9 @@
     /** Hosts whose reports all arrive within that time; in larger fleets reports travel longer, in proportion. */
     private static final int HOSTS_PER_REACH = 80;
 
+    /** Shortest time between two questions for all reports; an answer of 410 hosts has about 60 KB. */
+    private static final long ASK_EVERY_MILLIS = 2_500;
+
     /** A host out of reach is remembered, and still told the news, for this long: longer than a cut or a reboot lasts. */
     public static final long REMEMBER_MILLIS = 60_000;
 
@@ -37,15 +41,37 @@
 
     private static final double MAJORITY = 0.5;
 
-    /** Receivers of one report: each report reaches 410 hosts within five rounds. */
+    /**
+     * Receivers of one report. With the reports that each of them passes on this spreads changes among some 100 hosts
+     * within seconds; {@link #behind} fills the gaps in larger fleets.
+     */
     public static final int FAN_OUT = 4;
 
-    private record Known(HostReport report, long heardAtMillis) {}
+    /** The latest report of a host, and how often it was passed on. */
+    private static final class Known {
+        private final HostReport report;
+        private final long heardAtMillis;
+        private int passes;
+
+        private Known(HostReport report, long heardAtMillis) {
+            this.report = report;
+            this.heardAtMillis = heardAtMillis;
+        }
+
+        private HostReport report() {
+            return report;
+        }
+
+        private long heardAtMillis() {
+            return heardAtMillis;
+        }
+    }
 
     private final HostId self;
     private final List<SocketAddressText> seeds;
     private final RandomGenerator random;
     private final Map<HostId, Known> known = new HashMap<>();
+    private long askAgainAtMillis;
 
     /**
      * Builds a view.
@@ -110,6 +136,29 @@
         return List.copyOf(chosen);
     }
 
+    /**
+     * Finds a host whose view is larger than this one's, as after a start. All of its reports are asked for then, since
+     * the few that fit into a datagram would take minutes in a fleet of hundreds.
+     *
+     * @param nowMillis the current time
+     * @return the host to ask now, or empty if none is ahead or another one was asked just before
+     */
+    public Optional<HostReport> behind(long nowMillis) {
+        if (nowMillis < askAgainAtMillis) {
+            return Optional.empty();
+        }
+        List<HostReport> others = withinReach(nowMillis);
+        List<HostReport> ahead = others.stream()
+                .filter(r -> r.withinReach() > others.size() + 1)
+                .toList();
+        if (ahead.isEmpty()) {
+            return Optional.empty();
+        }
+        askAgainAtMillis = nowMillis + ASK_EVERY_MILLIS + random.nextInt((int) ASK_EVERY_MILLIS);
+        // Any of them, so that the questions of many hosts that start together do not all reach one host.
+        return Optional.of(ahead.get(random.nextInt(ahead.size())));
+    }
+
     /**
      * Gives the hosts within reach, except this one.
      *
@@ -128,16 +177,20 @@
     }
 
     /**
-     * Gives the freshest reports for passing on.
+     * Gives reports for passing on: those first that were passed on least often, since they are news to most hosts.
      *
      * @param limit greatest number of reports
      * @param nowMillis the current time
-     * @return reports of hosts within reach, in random order
+     * @return reports of hosts within reach, in random order among those passed on equally often
      */
     public List<HostReport> toPassOn(int limit, long nowMillis) {
-        List<HostReport> reports = new ArrayList<>(withinReach(nowMillis));
-        Collections.shuffle(reports, new java.util.Random(random.nextLong()));
-        return List.copyOf(reports.subList(0, Math.min(limit, reports.size())));
+        List<Known> news = new ArrayList<>(known.values());
+        news.removeIf(k -> nowMillis - k.heardAtMillis() > reachMillis());
+        Collections.shuffle(news, new java.util.Random(random.nextLong()));
+        news.sort(Comparator.comparingInt(k -> k.passes));
+        List<Known> chosen = news.subList(0, Math.min(limit, news.size()));
+        chosen.forEach(k -> k.passes++);
+        return chosen.stream().map(Known::report).toList();
     }
 
     /**
--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
@@ -20,6 +20,7 @@
  * @param phase what it can do for callers
  * @param storeRevision revision of the published state that it has applied
  * @param admitted units that it admitted for each workspace since its start
+ * @param withinReach number of hosts within its reach, itself included
  * @param waiting number of its requests that wait for room on an engine
  * @param load its own work on backend servers
  * @param crashed fingerprints of requests that crashed backend servers, with the number of crashes
@@ -34,6 +35,7 @@
         HostPhase phase,
         long storeRevision,
         List<WorkspaceTotal> admitted,
+        int withinReach,
         int waiting,
         List<ServerLoad> load,
         List<CrashCount> crashed) {
--- a/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
@@ -56,6 +56,15 @@
                         others.forEach(r -> receiver.hear(r, now));
                     }
                 }
+                view.behind(now).ifPresent(ahead -> ask(view, ahead, now));
+            }
+        }
+
+        private void ask(FleetView view, HostReport ahead, long now) {
+            FleetView asked = views.get(ahead.peers());
+            if (asked != null) {
+                view.hear(report(ahead.peers(), now), now);
+                asked.withinReach(now).forEach(r -> view.hear(r, now));
             }
         }
 
@@ -70,6 +79,7 @@
                     HostPhase.READY,
                     now,
                     List.of(),
+                    views.get(from).withinReach(now).size() + 1,
                     0,
                     List.of(),
                     List.of());
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -27,6 +27,7 @@
 import org.guavathread.core.time.Clock;
 import org.guavathread.gateway.call.Parts;
 import org.guavathread.gateway.call.RequestRouter;
+import org.guavathread.gateway.fleet.FleetRelay;
 import org.guavathread.gateway.fleet.GossipSocket;
 import org.guavathread.gateway.fleet.Reporter;
 import org.guavathread.gateway.fleet.RoleKeeper;
@@ -171,7 +172,11 @@
         supervisor.add(new PageServer("ready", settings.listenReady(), platform.readyPages(entry)));
         supervisor.add(new PageServer(
                 "entry", settings.listenEntry(), platform.entryPages(entry, settings.entryLifetimeSeconds())));
-        supervisor.add(new PageServer("peers", settings.listenPeers(), Map.of(StateRelay.PATH, query -> statePage())));
+        supervisor.add(new PageServer("peers", settings.listenPeers(), Map.of(
+                        StateRelay.PATH,
+                        query -> statePage(),
+                        FleetRelay.PATH,
+                        query -> page(reporter::allReports))));
         supervisor.add(new PageServer(
                 "metrics",
                 settings.listenMetrics(),
@@ -192,7 +197,11 @@
     }
 
     private PageServer.Page statePage() {
-        byte[] bytes = ask(() -> new StateRelay().encode(parts.state()), new byte[0]);
+        return page(() -> new StateRelay().encode(parts.state()));
+    }
+
+    private PageServer.Page page(Supplier<byte[]> content) {
+        byte[] bytes = ask(content, new byte[0]);
         return new PageServer.Page(bytes.length == 0 ? 503 : 200, "application/msgpack", bytes);
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/Reporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/Reporter.java
@@ -11,6 +11,9 @@
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.gateway.call.Parts;
+import org.guavathread.router.http.HttpAnswer;
+import org.guavathread.wire.CodecException;
+import org.tinylog.Logger;
 
 /** Tells other hosts about this one, and applies what they tell. Runs on the event loop's thread. */
 public final class Reporter {
@@ -27,6 +30,8 @@
     /** Reports of other hosts in one datagram, at most. */
     private static final int MAX_PASSED_ON = 8;
 
+    private static final int STATUS_OK = 200;
+
     /**
      * What stays the same in all reports of this process.
      *
@@ -47,6 +52,7 @@
     private final Parts parts;
     private final FleetView fleet;
     private final GossipSocket socket;
+    private final FleetRelay relay = new FleetRelay();
     private HostPhase phase = HostPhase.STARTING;
     private long sequence;
     private int within = -1;
@@ -164,6 +170,38 @@
         noteReach(fleet.withinReach(now).size());
         byte[] bytes = packet(now);
         fleet.receivers(identity.peers()).forEach(to -> socket.send(to, bytes));
+        fleet.behind(now).ifPresent(this::askForReports);
+    }
+
+    private void askForReports(HostReport peer) {
+        parts.client()
+                .send(peer.peers(), relay.request(parts.loop().nowMillis()))
+                .whenComplete((answer, failure) -> parts.loop().execute(() -> reportsCame(peer, answer, failure)));
+    }
+
+    private void reportsCame(HostReport peer, HttpAnswer answer, Throwable failure) {
+        if (failure != null || answer.status() != STATUS_OK) {
+            Logger.warn(
+                    "Host {} did not give the reports that it knows: {}.",
+                    peer.host(),
+                    failure == null ? "status " + answer.status() : failure.getMessage());
+            return;
+        }
+        try {
+            hear(relay.decode(answer.body()));
+        } catch (CodecException e) {
+            Logger.warn("The reports of host {} cannot be decoded: {}.", peer.host(), e.getMessage());
+        }
+    }
+
+    /**
+     * Gives all reports for a host that knows fewer hosts.
+     *
+     * @return the encoded reports of this host and all hosts within its reach
+     */
+    public byte[] allReports() {
+        long now = parts.loop().nowMillis();
+        return relay.encode(new GossipPacket(own(now), fleet.withinReach(now)));
     }
 
     private void noteReach(int hosts) {
@@ -201,6 +239,7 @@
                 phase,
                 parts.state().revision(),
                 parts.limits().totals(),
+                fleet.withinReach(nowMillis).size() + 1,
                 waiting.getAsInt(),
                 parts.loads().report(),
                 parts.suspects().report(nowMillis));
