--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
@@ -148,9 +148,8 @@
             return Optional.empty();
         }
         List<HostReport> others = withinReach(nowMillis);
-        List<HostReport> ahead = others.stream()
-                .filter(r -> r.withinReach() > others.size() + 1)
-                .toList();
+        List<HostReport> ahead =
+                others.stream().filter(r -> r.withinReach() > others.size() + 1).toList();
         if (ahead.isEmpty()) {
             return Optional.empty();
         }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -172,11 +172,10 @@
         supervisor.add(new PageServer("ready", settings.listenReady(), platform.readyPages(entry)));
         supervisor.add(new PageServer(
                 "entry", settings.listenEntry(), platform.entryPages(entry, settings.entryLifetimeSeconds())));
-        supervisor.add(new PageServer("peers", settings.listenPeers(), Map.of(
-                        StateRelay.PATH,
-                        query -> statePage(),
-                        FleetRelay.PATH,
-                        query -> page(reporter::allReports))));
+        supervisor.add(new PageServer(
+                "peers",
+                settings.listenPeers(),
+                Map.of(StateRelay.PATH, query -> statePage(), FleetRelay.PATH, query -> page(reporter::allReports))));
         supervisor.add(new PageServer(
                 "metrics",
                 settings.listenMetrics(),
