Apply the published bounds on heads, bodies and unused connections

Cause: heads and idle connections had fixed bounds of 16 KiB and 60 s, whatever the operators publish; a published greater head was refused. Before: the new tests failed (200 instead of 431; unused connections stayed open). After: they pass.

--- a/guavathread-core/src/main/java/org/guavathread/core/request/RefusalCode.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/request/RefusalCode.java
@@ -14,8 +14,10 @@
     NO_ROUTE(404),
     /** The route serves no model of this name. */
     NO_MODEL(404),
-    /** The body or the headers exceed their limit. */
+    /** The body exceeds its limit. */
     TOO_LARGE(413),
+    /** Request line and headers exceed their limit. */
+    HEAD_TOO_LARGE(431),
     /** Another attempt of the same request is still running. */
     CLAIM_HELD(409),
     /** The idempotency key was issued longer ago than claims are kept. */
--- a/guavathread-core/src/main/java/org/guavathread/core/routing/RoutingTable.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/routing/RoutingTable.java
@@ -16,6 +16,9 @@
  */
 public final class RoutingTable {
 
+    /** Bounds until others are published: 16 KiB of head within 10 s, 4 MiB of body, one idle minute. */
+    public static final CallerBounds DEFAULT_BOUNDS = new CallerBounds(16 * 1024, 4 * 1024 * 1024, 10_000, 60_000);
+
     private final long version;
     private final Map<String, Map<String, RouteRule>> byHost = new HashMap<>();
     private final Map<ServiceName, ServiceTerms> services = new HashMap<>();
@@ -135,7 +138,7 @@
         private final List<RouteRule> routes = new ArrayList<>();
         private final List<ServiceTerms> services = new ArrayList<>();
         private final List<WorkspaceTerms> workspaces = new ArrayList<>();
-        private CallerBounds bounds = new CallerBounds(16 * 1024, 1024 * 1024, 3_000, 15_000);
+        private CallerBounds bounds = DEFAULT_BOUNDS;
 
         private Builder(long version) {
             this.version = version;
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -21,6 +21,8 @@
 import org.guavathread.core.gossip.HostPhase;
 import org.guavathread.core.id.Incarnation;
 import org.guavathread.core.publish.PublishedState;
+import org.guavathread.core.routing.CallerBounds;
+import org.guavathread.core.routing.RoutingTable;
 import org.guavathread.core.share.SharedRetryBudget;
 import org.guavathread.core.share.SharedTokenLimits;
 import org.guavathread.core.sheet.SocketAddressText;
@@ -65,9 +67,6 @@
     /** Hosts, backend servers and store answer a connection within milliseconds; a silent one must not hold a request. */
     private static final long CONNECT_TIMEOUT_MILLIS = 400;
 
-    /** Greatest body that a caller may send; the published bounds are checked by each request's route. */
-    private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
-
     /** Time between two looks at what is due: store calls, readiness, the answers for callers. */
     private static final long STEP_MILLIS = 100;
 
@@ -93,6 +92,9 @@
     private final long startedAtMillis;
     private volatile boolean leaving;
 
+    /** Bounds in force; read by network threads. */
+    private volatile CallerBounds callerBounds = RoutingTable.DEFAULT_BOUNDS;
+
     /**
      * Builds the daemon.
      *
@@ -168,7 +170,7 @@
                         clock,
                         pauses,
                         exchange -> parts.loop().execute(() -> router.route(exchange)))
-                .maxBodyBytes(MAX_BODY_BYTES));
+                .bounds(() -> callerBounds));
         supervisor.add(new PageServer("ready", settings.listenReady(), platform.readyPages(entry)));
         supervisor.add(new PageServer(
                 "entry", settings.listenEntry(), platform.entryPages(entry, settings.entryLifetimeSeconds())));
@@ -261,6 +263,7 @@
 
     private void step() {
         keeper.step();
+        parts.state().table().ifPresent(table -> callerBounds = table.bounds());
         if (reporter.phase() == HostPhase.STARTING && parts.state().table().isPresent()) {
             reporter.phase(HostPhase.READY);
         }
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/CallerServer.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/CallerServer.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.ReadHandler;
@@ -21,6 +22,7 @@
 import org.glassfish.grizzly.http.server.Response;
 import org.guavathread.core.request.Refusal;
 import org.guavathread.core.request.RefusalCode;
+import org.guavathread.core.routing.CallerBounds;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.core.time.Clock;
 import org.guavathread.router.supervisor.Supervised;
@@ -47,7 +49,7 @@
     private final Consumer<CallerExchange> handler;
     private final HttpServer server = new HttpServer();
     private final ConnectionGuard guard;
-    private int maxBodyBytes = CallerLimits.MAX_BODY_BYTES;
+    private Supplier<CallerBounds> bounds = () -> CallerLimits.DEFAULT_BOUNDS;
     private final Map<BodyReader, Boolean> receiving = new ConcurrentHashMap<>();
     private final ScheduledExecutorService housekeeping =
             Executors.newSingleThreadScheduledExecutor(CallerServer::housekeepingThread);
@@ -72,17 +74,17 @@
         this.clock = clock;
         this.pauses = pauses;
         this.handler = handler;
-        this.guard = new ConnectionGuard(clock);
+        this.guard = new ConnectionGuard(clock, () -> bounds.get());
     }
 
     /**
-     * Replaces the greatest size of a body.
+     * Replaces the bounds on what callers may send.
      *
-     * @param bytes the size in bytes
+     * @param current gives the bounds in force; called from network threads, often
      * @return this server
      */
-    public CallerServer maxBodyBytes(int bytes) {
-        maxBodyBytes = bytes;
+    public CallerServer bounds(Supplier<CallerBounds> current) {
+        bounds = current;
         return this;
     }
 
@@ -94,8 +96,9 @@
     @Override
     public void start() {
         NetworkListener listener = new NetworkListener("callers", listen.ip(), listen.port());
+        // The guard applies the bounds in force, which may change; those of the listener are fixed at its start.
         listener.setMaxHttpHeaderSize(CallerLimits.MAX_HEADER_BYTES);
-        listener.getKeepAlive().setIdleTimeoutInSeconds(CallerLimits.KEEP_ALIVE_IDLE_SECONDS);
+        listener.getKeepAlive().setIdleTimeoutInSeconds(-1);
         listener.getKeepAlive().setMaxRequestsCount(-1);
         listener.getTransport().setKeepAlive(true);
         listener.getTransport().setTcpNoDelay(true);
@@ -139,7 +142,7 @@
             response.suspend();
             guard.headersReceived(request.getRequest().getConnection());
             BodyReader reader = new BodyReader(request, response);
-            if (request.getContentLengthLong() > maxBodyBytes) {
+            if (request.getContentLengthLong() > reader.maxBodyBytes) {
                 reader.refuseTooLarge();
                 return;
             }
@@ -155,6 +158,7 @@
         private final Response response;
         private final NIOInputStream in;
         private final long deadlineMillis = clock.nowMillis() + CallerLimits.RECEIVE_DEADLINE_MILLIS;
+        private final int maxBodyBytes = bounds.get().maxBodyBytes();
         private final long arrivedAtMillis = pauses.arrivalMillis();
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/ConnectionGuard.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/ConnectionGuard.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
 
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -21,15 +22,18 @@
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.server.AddOn;
 import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.http.util.HttpStatus;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
+import org.guavathread.core.request.Refusal;
+import org.guavathread.core.routing.CallerBounds;
 import org.guavathread.core.time.Clock;
 import org.tinylog.Logger;
 
 /**
  * Goes on reading from a connection while its request is being served, because Grizzly otherwise learns only after the
  * answer that the caller has closed the connection. A further request that arrives early waits until the answer is
- * complete. Also closes connections that take too long to send their headers.
+ * complete. Also closes connections that stay unused, or take to send a head, longer than their bounds allow.
  */
 final class ConnectionGuard extends BaseFilter implements AddOn {
 
@@ -47,17 +51,32 @@
         private Intake intake = Intake.OPEN;
         private FilterChainContext passing;
         private final Deque<FilterChainContext> held = new ArrayDeque<>();
-        private HeadScanner head = new HeadScanner();
-        private volatile long headersDeadlineMillis = Long.MAX_VALUE;
+        private HeadScanner head;
+        private boolean headBegun;
+        private volatile long closeAtMillis;
+
+        private State(CallerBounds bounds, long nowMillis) {
+            idle(bounds, nowMillis);
+        }
+
+        /** Prepares for the next request. */
+        private void idle(CallerBounds bounds, long nowMillis) {
+            head = new HeadScanner(bounds.maxHeadBytes());
+            headBegun = false;
+            closeAtMillis = nowMillis + bounds.idleMillis();
+        }
     }
 
     private final Clock clock;
     private final Set<Connection<?>> open = ConcurrentHashMap.newKeySet();
-    private final Attribute<State> states = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(
-            "caller-connection-" + System.identityHashCode(this), State::new);
+    private final Supplier<CallerBounds> bounds;
+    private final Attribute<State> states;
 
-    ConnectionGuard(Clock clock) {
+    ConnectionGuard(Clock clock, Supplier<CallerBounds> bounds) {
         this.clock = clock;
+        this.bounds = bounds;
+        this.states = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(
+                "caller-connection-" + System.identityHashCode(this), () -> new State(bounds.get(), clock.nowMillis()));
     }
 
     @Override
@@ -92,10 +111,8 @@
             state.passing = ctx;
         }
         ctx.addCompletionListener(context -> passed(state, context));
-        if (state.headersDeadlineMillis == Long.MAX_VALUE) {
-            state.headersDeadlineMillis = clock.nowMillis() + CallerLimits.RECEIVE_DEADLINE_MILLIS;
-        }
-        Optional<String> fault = faultOf(ctx.getMessage(), state);
+        beginHead(state);
+        Optional<Refusal> fault = faultOf(ctx.getMessage(), state);
         if (fault.isPresent()) {
             refuse(ctx, fault.get());
             return ctx.getStopAction();
@@ -103,11 +120,20 @@
         return ctx.getInvokeAction();
     }
 
+    private void beginHead(State state) {
+        synchronized (state) {
+            if (!state.headBegun) {
+                state.headBegun = true;
+                state.closeAtMillis = clock.nowMillis() + bounds.get().headMillis();
+            }
+        }
+    }
+
     /** Scans what belongs to a head; bytes after it belong to a body, which the codec delimits. */
-    private static Optional<String> faultOf(Buffer buffer, State state) {
+    private static Optional<Refusal> faultOf(Buffer buffer, State state) {
         synchronized (state) {
             for (int i = buffer.position(); i < buffer.limit() && !state.head.isComplete(); i++) {
-                Optional<String> fault = state.head.accept(buffer.get(i));
+                Optional<Refusal> fault = state.head.accept(buffer.get(i));
                 if (fault.isPresent()) {
                     return fault;
                 }
@@ -117,12 +143,15 @@
     }
 
     @SuppressWarnings("rawtypes")
-    private static void refuse(FilterChainContext ctx, String fault) {
-        Logger.info("Refusing a request of {}: {}", ctx.getConnection().getPeerAddress(), fault);
-        String body = "{\"error\":{\"code\":\"BAD_REQUEST\",\"message\":\"" + fault + "\",\"run\":\"not_run\"}}";
-        String answer = "HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\nConnection: close\r\n"
-                + "Content-Length: " + body.length() + "\r\n\r\n" + body;
-        Buffer bytes = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, answer.getBytes(StandardCharsets.US_ASCII));
+    private static void refuse(FilterChainContext ctx, Refusal refusal) {
+        Logger.info("Refusing a request of {}: {}", ctx.getConnection().getPeerAddress(), refusal.message());
+        byte[] body = RefusalWriter.body(refusal);
+        HttpStatus status = HttpStatus.getHttpStatus(refusal.code().httpStatus());
+        String head = "HTTP/1.1 " + status.getStatusCode() + " " + status.getReasonPhrase()
+                + "\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: " + body.length
+                + "\r\n\r\n";
+        String answer = head + new String(body, StandardCharsets.UTF_8);
+        Buffer bytes = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, answer.getBytes(StandardCharsets.UTF_8));
         ctx.write(bytes, new EmptyCompletionHandler<WriteResult>() {
             @Override
             public void completed(WriteResult result) {
@@ -139,8 +168,9 @@
     /** Notes that the headers of a request are complete; its body has a deadline of its own. */
     void headersReceived(Connection<?> connection) {
         State state = states.get(connection);
-        state.headersDeadlineMillis = Long.MAX_VALUE - 1;
         synchronized (state) {
+            state.headBegun = true;
+            state.closeAtMillis = Long.MAX_VALUE;
             if (!state.head.isComplete()) {
                 // The head came in one read with the end of the request before, of which only the codec knows.
                 state.head = HeadScanner.afterHead();
@@ -198,16 +228,15 @@
     void served(Connection<?> connection) {
         State state = states.get(connection);
         synchronized (state) {
-            state.head = new HeadScanner();
+            state.idle(bounds.get(), clock.nowMillis());
         }
-        state.headersDeadlineMillis = Long.MAX_VALUE;
         settle(state, Intake.SERVING);
     }
 
     void expire(long nowMillis) {
         for (Connection<?> connection : open) {
-            if (nowMillis >= states.get(connection).headersDeadlineMillis) {
-                Logger.info("Closing the connection of {}: its headers are not complete.", connection.getPeerAddress());
+            if (nowMillis >= states.get(connection).closeAtMillis) {
+                Logger.debug("Closing the connection of {}: no whole head came.", connection.getPeerAddress());
                 connection.closeSilently();
             }
         }
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/HeadScanner.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/HeadScanner.java
@@ -3,6 +3,9 @@
 import java.util.Locale;
 import java.util.Optional;
 
+import org.guavathread.core.request.Refusal;
+import org.guavathread.core.request.RefusalCode;
+
 /**
  * Reads the head of a request byte by byte and finds what other parsers could read in another way: line feeds without a
  * carriage return, folded header lines, control characters, and first lines that are no HTTP. Such requests are refused
@@ -18,6 +21,8 @@
 
     private final StringBuilder firstLine = new StringBuilder();
     private final StringBuilder header = new StringBuilder();
+    private final int maxBytes;
+    private int bytes;
     private boolean hasLength;
     private boolean hasCoding;
     private boolean firstLineDone;
@@ -25,17 +30,30 @@
     private boolean afterCarriageReturn;
     private boolean complete;
 
+    /** Makes a scanner for a head of a greatest size. */
+    HeadScanner(int maxBytes) {
+        this.maxBytes = maxBytes;
+    }
+
     /** Makes a scanner for the rest of a request whose head was read elsewhere. */
     static HeadScanner afterHead() {
-        HeadScanner scanner = new HeadScanner();
+        HeadScanner scanner = new HeadScanner(0);
         scanner.complete = true;
         return scanner;
     }
 
+    private static Optional<Refusal> malformed(String reason) {
+        return Optional.of(Refusal.notRun(RefusalCode.BAD_REQUEST, reason));
+    }
+
     /** Takes the next byte; gives what is wrong with the head, if anything. */
-    Optional<String> accept(byte next) {
+    Optional<Refusal> accept(byte next) {
+        if (++bytes > maxBytes) {
+            String reason = "Request line and headers exceed " + maxBytes + " bytes.";
+            return Optional.of(Refusal.notRun(RefusalCode.HEAD_TOO_LARGE, reason));
+        }
         if (afterCarriageReturn && next != '\n') {
-            return Optional.of("A carriage return is not followed by a line feed.");
+            return malformed("A carriage return is not followed by a line feed.");
         }
         switch (next) {
             case '\r' -> {
@@ -51,9 +69,9 @@
         }
     }
 
-    private Optional<String> lineFeed() {
+    private Optional<Refusal> lineFeed() {
         if (!afterCarriageReturn) {
-            return Optional.of("A line ends without a carriage return.");
+            return malformed("A line ends without a carriage return.");
         }
         afterCarriageReturn = false;
         boolean wasEmpty = lineEmpty;
@@ -65,7 +83,7 @@
         if (!firstLineDone) {
             firstLineDone = true;
             boolean http = firstLine.toString().matches("[A-Z]+ \\S+ HTTP/1\\.[01]");
-            return http ? Optional.empty() : Optional.of("The first line is no HTTP/1.1 request.");
+            return http ? Optional.empty() : malformed("The first line is no HTTP/1.1 request.");
         }
         String name = header.toString().toLowerCase(Locale.ROOT);
         hasLength |= name.startsWith("content-length:");
@@ -74,16 +92,16 @@
         complete = wasEmpty;
         // The codec drops the length of a chunked body, so only the scanner sees both.
         return complete && hasLength && hasCoding
-                ? Optional.of("The request has both Content-Length and Transfer-Encoding.")
+                ? malformed("The request has both Content-Length and Transfer-Encoding.")
                 : Optional.empty();
     }
 
-    private Optional<String> character(byte next) {
+    private Optional<Refusal> character(byte next) {
         if (next >= 0 && next < ' ' && next != '\t' || next == 127) {
-            return Optional.of("The head holds a control character.");
+            return malformed("The head holds a control character.");
         }
         if (firstLineDone && lineEmpty && (next == ' ' || next == '\t')) {
-            return Optional.of("A header line is folded.");
+            return malformed("A header line is folded.");
         }
         lineEmpty = false;
         if (firstLineDone && header.length() < NAME_BYTES) {
@@ -92,7 +110,7 @@
         if (!firstLineDone) {
             firstLine.append((char) (next & 0xff));
             if (firstLine.length() > MAX_FIRST_LINE_BYTES) {
-                return Optional.of("The first line is longer than " + MAX_FIRST_LINE_BYTES + " bytes.");
+                return malformed("The first line is longer than " + MAX_FIRST_LINE_BYTES + " bytes.");
             }
         }
         return Optional.empty();
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/RefusalWriter.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/RefusalWriter.java
@@ -10,18 +10,37 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 
 /** Turns refusals into the JSON that callers see. */
-final class RefusalWriter {
+public final class RefusalWriter {
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private RefusalWriter() {}
 
+    /**
+     * Writes a refusal of a request that has no id of this host.
+     *
+     * @param refusal the refusal
+     * @return JSON in UTF-8
+     */
+    public static byte[] body(Refusal refusal) {
+        return bytes(refusal, error(refusal));
+    }
+
     static byte[] body(Refusal refusal, RequestId id) {
+        Map<String, Object> error = error(refusal);
+        error.put("requestId", id.value());
+        return bytes(refusal, error);
+    }
+
+    private static Map<String, Object> error(Refusal refusal) {
         Map<String, Object> error = new LinkedHashMap<>();
         error.put("code", refusal.code().name());
         error.put("message", refusal.message());
         error.put("run", refusal.run().wireName());
-        error.put("requestId", id.value());
+        return error;
+    }
+
+    private static byte[] bytes(Refusal refusal, Map<String, Object> error) {
         try {
             return JSON.writeValueAsBytes(Map.of("error", error));
         } catch (JsonProcessingException e) {
--- a/guavathread-router/src/test/java/org/guavathread/router/caller/CallerServerTest.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/caller/CallerServerTest.java
@@ -18,6 +18,7 @@
 import org.guavathread.core.id.Incarnation;
 import org.guavathread.core.request.Refusal;
 import org.guavathread.core.request.RefusalCode;
+import org.guavathread.core.routing.CallerBounds;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -36,6 +37,7 @@
 
     private SocketAddressText address;
     private CallerServer server;
+    private final AtomicReference<CallerBounds> bounds = new AtomicReference<>(CallerLimits.DEFAULT_BOUNDS);
     private final AtomicReference<CallerExchange> latest = new AtomicReference<>();
     private final CountDownLatch gone = new CountDownLatch(1);
 
@@ -46,7 +48,12 @@
         }
         RequestIds ids = new RequestIds(new HostId("h1"), new Incarnation(1));
         server = new CallerServer(
-                address, ids, System::currentTimeMillis, new PauseDetector(System::currentTimeMillis), this::handle);
+                        address,
+                        ids,
+                        System::currentTimeMillis,
+                        new PauseDetector(System::currentTimeMillis),
+                        this::handle)
+                .bounds(bounds::get);
         server.start();
     }
 
@@ -191,6 +198,40 @@
         assertEquals(null, latest.get(), "the request reached the handler");
     }
 
+    @Test
+    void headBeyondTheBoundsInForceIsRefusedAsNotRun() throws IOException {
+        bounds.set(new CallerBounds(300, 1_000, 10_000, 60_000));
+        String answer = exchange("GET /echo HTTP/1.1\r\nHost: a\r\nX: " + "x".repeat(400) + "\r\n\r\n");
+        assertTrue(answer.startsWith("HTTP/1.1 431"), answer);
+        assertTrue(answer.contains("\"HEAD_TOO_LARGE\"") && answer.contains("\"not_run\""), answer);
+        assertEquals(null, latest.get(), "the request reached the handler");
+    }
+
+    @Test
+    void bodyBeyondTheBoundsInForceIsRefused() throws IOException {
+        bounds.set(new CallerBounds(1_000, 10, 10_000, 60_000));
+        String answer = exchange("POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\nhello hello");
+        assertTrue(answer.startsWith("HTTP/1.1 413"), answer);
+    }
+
+    /** Guards against connections that are kept for callers who are gone, and against heads that never end. */
+    @Test
+    void unusedConnectionsAndSlowHeadsEndAtTheirBoundsAndNotBefore() throws Exception {
+        bounds.set(new CallerBounds(1_000, 1_000, 1_000, 2_000));
+        try (Socket unused = connect();
+                Socket kept = connect();
+                Socket slow = connect()) {
+            send(slow, "GET /echo HTTP/1.1\r\nHo");
+            for (int i = 0; i < 3; i++) {
+                send(kept, "GET /echo HTTP/1.1\r\nHost: a\r\n\r\n");
+                assertTrue(readUntil(kept, "GET /echo ").startsWith("HTTP/1.1 200"), "use " + i);
+                Thread.sleep(1_500);
+            }
+            assertEquals("", readUntil(unused, "never"));
+            assertEquals("", readUntil(slow, "never"));
+        }
+    }
+
     @Test
     void announcedOversizedBodyIsRefused() throws IOException {
         String answer = exchange("POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\nx");
