--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/EngineDispatch.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/EngineDispatch.java
@@ -137,7 +137,7 @@
     }
 
     private double fillAfter(Worker worker, EngineWork work, int memoryTokens) {
-        return (loads.heldTokens(worker.id()) + work.heldTokens()) / (double) memoryTokens;
+        return (loads.heldTokens(worker.id()) + work.occupiedTokens()) / (double) memoryTokens;
     }
 
     private double generatingMillis(Worker worker, EngineWork work, int memoryTokens) {
--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
+import org.guavathread.core.dispatch.WaitingRank;
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
@@ -39,6 +40,9 @@
     /** A host out of reach counts as one that may still spend shared budgets for this long: two limit windows. */
     private static final long SPENDING_MILLIS = 15_000;
 
+    /** A report tells which requests wait now for this long: they are on time for less than half a second. */
+    private static final long FRESH_MILLIS = 400;
+
     private static final double MAJORITY = 0.5;
 
     /**
@@ -272,6 +276,20 @@
         return withinReach(nowMillis).stream().anyMatch(r -> r.waiting() > 0);
     }
 
+    /**
+     * Gives the rank of the best request that waits for room at another host.
+     *
+     * @param nowMillis the current time
+     * @return the rank by the hosts' fresh reports
+     */
+    public WaitingRank bestWaitingElsewhere(long nowMillis) {
+        return known.values().stream()
+                .filter(k -> nowMillis - k.heardAtMillis() <= FRESH_MILLIS)
+                .map(k -> k.report().best())
+                .min(Comparator.naturalOrder())
+                .orElse(WaitingRank.NONE);
+    }
+
     /**
      * Sums the work of the other hosts on each backend server.
      *
--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.guavathread.core.dispatch.WaitingRank;
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
@@ -22,6 +23,7 @@
  * @param admitted units that it admitted for each workspace since its start
  * @param withinReach number of hosts within its reach, itself included
  * @param waiting number of its requests that wait for room on an engine
+ * @param best rank of the best of them
  * @param load its own work on backend servers
  * @param crashed fingerprints of requests that crashed backend servers, with the number of crashes
  */
@@ -37,6 +39,7 @@
         List<WorkspaceTotal> admitted,
         int withinReach,
         int waiting,
+        WaitingRank best,
         List<ServerLoad> load,
         List<CrashCount> crashed) {
 
--- a/guavathread-core/src/main/java/org/guavathread/core/routing/ServiceTerms.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/routing/ServiceTerms.java
@@ -18,5 +18,15 @@
      * @param handleMillis how long the result of a prefill is kept for the transfer, in milliseconds
      * @param reserveMillis how long reserved room is kept at most, in milliseconds; 0 if none can be reserved
      */
-    public record EngineTerms(int slots, int memoryTokens, long handleMillis, long reserveMillis) {}
+    public record EngineTerms(int slots, int memoryTokens, long handleMillis, long reserveMillis) {
+
+        /**
+         * Gives the memory for each request of a full batch.
+         *
+         * @return tokens
+         */
+        public int slotTokens() {
+            return slots > 0 ? memoryTokens / slots : 0;
+        }
+    }
 }
--- a/guavathread-core/src/main/java/org/guavathread/core/share/SharedTokenLimits.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/share/SharedTokenLimits.java
@@ -33,6 +33,7 @@
     private static final class Bucket {
         private double level;
         private double admitted;
+        private double turnedAway;
         private long filledAtMillis;
         private double rate;
         private double burst;
@@ -64,7 +65,8 @@
      * @param terms the workspace with its limit
      * @param units the charge
      * @param nowMillis the current time
-     * @return 0 if the request is admitted, otherwise the milliseconds until the budget is positive again
+     * @return 0 if the request is admitted, otherwise the milliseconds until the budget has room for it and for those that
+     *     were turned away before
      */
     public long admit(WorkspaceTerms terms, double units, long nowMillis) {
         if (!terms.isLimited()) {
@@ -72,8 +74,11 @@
         }
         Bucket bucket = bucketOf(terms, nowMillis);
         if (bucket.level <= 0) {
+            // Callers that were turned away before return as well; who comes later is asked to return after them.
             double perMilli = bucket.rate * reachableShare / MILLIS_PER_SECOND;
-            return Math.max(1, (long) Math.ceil(-bucket.level / perMilli));
+            long millis = (long) Math.ceil((bucket.turnedAway - bucket.level) / perMilli);
+            bucket.turnedAway += units;
+            return Math.max(1, millis);
         }
         bucket.level -= units;
         bucket.admitted += units;
@@ -101,12 +106,13 @@
      * @param incarnation start time of its process; a later process counts from 0 again
      * @param workspace the workspace
      * @param total units that it admitted since its start
+     * @return units that it admitted since its last report
      */
-    public void report(HostId host, long incarnation, WorkspaceId workspace, double total) {
+    public double report(HostId host, long incarnation, WorkspaceId workspace, double total) {
         Map<HostId, Total> totals = reported.computeIfAbsent(workspace, id -> new HashMap<>());
         Total before = totals.get(host);
         if (before != null && before.incarnation() > incarnation) {
-            return;
+            return 0;
         }
         boolean sameProcess = before != null && before.incarnation() == incarnation;
         // A first report may cover a long time; what it says about the past is not taken from today's budget.
@@ -116,6 +122,7 @@
         if (bucket != null && news != 0) {
             bucket.level = Math.min(bucket.burst, bucket.level - news);
         }
+        return news;
     }
 
     /**
@@ -151,6 +158,7 @@
         bucket.burst = burst;
         double refill = (nowMillis - bucket.filledAtMillis) * bucket.rate * reachableShare / MILLIS_PER_SECOND;
         bucket.level = Math.min(burst, bucket.level + refill);
+        bucket.turnedAway = Math.max(0, bucket.turnedAway - refill);
         bucket.filledAtMillis = nowMillis;
         return bucket;
     }
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/DispatchTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/DispatchTest.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 
@@ -15,6 +16,7 @@
 import org.guavathread.core.registry.EngineStage;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.routing.ServiceName;
+import org.guavathread.core.share.DemandShares;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.junit.jupiter.api.Test;
 
@@ -27,7 +29,7 @@
 
     private static final int MEMORY = 39_852;
     private static final long TARGET_MILLIS = 900;
-    private static final EngineWork WORK = new EngineWork(3_200, 1_020, 420, false);
+    private static final EngineWork WORK = new EngineWork(3_200, 1_020, 420, 0, false);
 
     private final ServerLoads loads = new ServerLoads();
     private final ServerHealth health = new ServerHealth();
@@ -161,6 +163,20 @@
                 .isEmpty());
     }
 
+    /** Guards against more small requests on an engine than its batch has places. */
+    @Test
+    void anEngineWhoseBatchIsFullGetsNoMoreRequests() {
+        EngineWork small = new EngineWork(100, 50, 20, 0, false).withSlotTokens(MEMORY / 12);
+        List<Worker> all = engines();
+        for (Worker worker : all) {
+            for (int i = 0; i < 14; i++) {
+                loads.open(worker.id(), 0, small.occupiedTokens());
+            }
+        }
+        assertTrue(
+                engines.choose(all, Set.of(), small, MEMORY, TARGET_MILLIS, 0).isEmpty());
+    }
+
     @Test
     void aResumedStreamIsNotReadElsewhere() {
         List<Worker> all = engines();
@@ -170,26 +186,30 @@
         assertTrue(plan.prefill().isEmpty());
     }
 
+    private static WaitingLine.Place waitingFrom(long arrivedAtMillis, long onTimeUntilMillis, long giveUpAtMillis) {
+        return new WaitingLine.Place(Optional.empty(), arrivedAtMillis, onTimeUntilMillis, giveUpAtMillis);
+    }
+
     @Test
     void waitingRequestsThatCanStillBeOnTimeGoFirst() {
-        WaitingLine<String> line = new WaitingLine<>();
-        assertTrue(line.add("late", 0, 500, 10_000, 0));
-        assertTrue(line.add("first", 600, 1_300, 10_000, 600));
-        assertTrue(line.add("second", 700, 1_400, 10_000, 700));
-        assertEquals("late", line.first(400).orElseThrow());
-        assertEquals("first", line.first(900).orElseThrow());
-        line.remove("first", true, 900);
-        assertEquals("second", line.first(900).orElseThrow());
-        line.remove("second", true, 1_000);
-        assertEquals("late", line.first(1_000).orElseThrow());
+        WaitingLine<String> line = new WaitingLine<>(new DemandShares());
+        assertTrue(line.add("late", waitingFrom(0, 500, 10_000), 0));
+        assertTrue(line.add("first", waitingFrom(600, 1_300, 10_000), 600));
+        assertTrue(line.add("second", waitingFrom(700, 1_400, 10_000), 700));
+        assertEquals("late", line.first(WaitingRank.NONE, 400).orElseThrow());
+        assertEquals("first", line.first(WaitingRank.NONE, 900).orElseThrow());
+        line.gotRoom("first", 900);
+        assertEquals("second", line.first(WaitingRank.NONE, 900).orElseThrow());
+        line.gotRoom("second", 1_000);
+        assertEquals("late", line.first(WaitingRank.NONE, 1_000).orElseThrow());
     }
 
     @Test
     void aRequestThatWouldWaitInVainIsNotTaken() {
-        WaitingLine<Integer> line = new WaitingLine<>();
+        WaitingLine<Integer> line = new WaitingLine<>(new DemandShares());
         int taken = 0;
         for (int i = 0; i < 100; i++) {
-            taken += line.add(i, 0, 700, 2_700, 0) ? 1 : 0;
+            taken += line.add(i, waitingFrom(0, 700, 2_700), 0) ? 1 : 0;
         }
         assertTrue(taken < 15, taken + " requests wait, though one leaves every 300 ms");
         assertTrue(line.drainMillis() >= 2_400);
--- a/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 
+import org.guavathread.core.dispatch.WaitingRank;
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.sheet.SocketAddressText;
@@ -27,6 +28,7 @@
         private final List<SocketAddressText> addresses = new ArrayList<>();
         private final Map<SocketAddressText, Long> incarnations = new HashMap<>();
         private long sequence;
+        private WaitingRank best = WaitingRank.NONE;
 
         void start(int number, List<SocketAddressText> seeds, long now) {
             SocketAddressText address = address(number);
@@ -81,6 +83,7 @@
                     List.of(),
                     views.get(from).withinReach(now).size() + 1,
                     0,
+                    best,
                     List.of(),
                     List.of());
         }
@@ -173,6 +176,21 @@
         assertEquals(200, view.ahead(0, 300).orElseThrow().storeRevision());
     }
 
+    @Test
+    void waitingRequestsOfOthersAreForgottenSoonAfterTheirReport() {
+        FleetView view = new FleetView(new HostId("h1"), List.of(), new SplittableRandom(1));
+        Fleet fleet = new Fleet();
+        fleet.start(2, List.of(), 0);
+        fleet.best = WaitingRank.ON_TIME;
+        view.hear(fleet.report(address(2), 100), 100);
+        assertEquals(WaitingRank.ON_TIME, view.bestWaitingElsewhere(300));
+        // The host may be gone, and its requests with it.
+        assertEquals(WaitingRank.NONE, view.bestWaitingElsewhere(700));
+        fleet.best = WaitingRank.NONE;
+        view.hear(fleet.report(address(2), 200), 200);
+        assertEquals(WaitingRank.NONE, view.bestWaitingElsewhere(300));
+    }
+
     @Test
     void oneHostOfAMajorityIsTheFirst() {
         Fleet fleet = new Fleet();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -23,6 +23,7 @@
 import org.guavathread.core.publish.PublishedState;
 import org.guavathread.core.routing.CallerBounds;
 import org.guavathread.core.routing.RoutingTable;
+import org.guavathread.core.share.DemandShares;
 import org.guavathread.core.share.SharedRetryBudget;
 import org.guavathread.core.share.SharedTokenLimits;
 import org.guavathread.core.sheet.SocketAddressText;
@@ -125,7 +126,7 @@
                 settings.listenCallers(),
                 settings.listenPeers());
         this.reporter = new Reporter(identity, parts, fleet, socket[0]);
-        this.router = new RequestRouter(parts, reporter::loadChanged);
+        this.router = new RequestRouter(parts, reporter);
         this.keeper = new StateKeeper(parts, platform.store(parts.client(), settings), fleet, this::step);
         this.roles = new RoleKeeper(settings.hostId(), parts, fleet, new RolePlan(settings.prefillShare()));
         supervisor.add(parts.log());
@@ -147,6 +148,7 @@
                 loop,
                 new PublishedState(platform.items()),
                 new SharedTokenLimits(settings.burstAllowance(), settings.isFirstStart()),
+                new DemandShares(),
                 new SharedRetryBudget(settings.retryRatio(), settings.retryExtra(), settings.retryWindowMillis()),
                 loads,
                 health,
@@ -251,7 +253,7 @@
                 .with("firstStart", settings.isFirstStart())
                 .write();
         parts.loop().execute(() -> {
-            reporter.start(router::waiting);
+            reporter.start(router);
             tick();
         });
     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
@@ -11,6 +11,7 @@
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.request.Refusal;
 import org.guavathread.core.request.RefusalCode;
+import org.guavathread.core.routing.WorkspaceTerms;
 import org.guavathread.gateway.form.CallerRequest;
 import org.guavathread.gateway.form.ReadPrompt;
 import org.guavathread.gateway.form.ReservedRoom;
@@ -178,7 +179,7 @@
     }
 
     /** Spreads returning callers over time, so that they do not all come back at once. */
-    private long returnMillis() {
+    long returnMillis() {
         return RETURN_MILLIS + (long) (parts.random().nextDouble() * 3 * RETURN_MILLIS);
     }
 
@@ -191,12 +192,17 @@
             stated = Refusal.unknown(RefusalCode.BACKEND_FAILED, refusal.message());
         }
         if (!hasRun()) {
-            admitted.workspace().ifPresent(w -> parts.limits().giveBack(w.id(), admitted.charge()));
+            admitted.workspace().ifPresent(this::giveBack);
         }
         Refusals.write(exchange(), stated, parts.callers().headersOf(stated));
         end("refused " + stated.code(), stated.code().httpStatus());
     }
 
+    private void giveBack(WorkspaceTerms workspace) {
+        parts.limits().giveBack(workspace.id(), admitted.charge());
+        parts.shares().used(workspace.id(), -admitted.charge(), now());
+    }
+
     /** Answers with a whole body. */
     void answer(int status, Map<String, String> headers, byte[] body) {
         Map<String, String> all = new LinkedHashMap<>(headers);
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Parts.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Parts.java
@@ -8,6 +8,7 @@
 import org.guavathread.core.dispatch.ServerHealth;
 import org.guavathread.core.dispatch.ServerLoads;
 import org.guavathread.core.publish.PublishedState;
+import org.guavathread.core.share.DemandShares;
 import org.guavathread.core.share.SharedRetryBudget;
 import org.guavathread.core.share.SharedTokenLimits;
 import org.guavathread.gateway.form.CallerForm;
@@ -23,6 +24,7 @@
  * @param loop the thread on which requests are decided
  * @param state what the store publishes
  * @param limits rates of the workspaces
+ * @param shares use of the workspaces compared
  * @param retries budget of repeated sends
  * @param loads work in progress on backend servers
  * @param health outcome of earlier requests
@@ -40,6 +42,7 @@
         EventLoop loop,
         PublishedState state,
         SharedTokenLimits limits,
+        DemandShares shares,
         SharedRetryBudget retries,
         ServerLoads loads,
         ServerHealth health,
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
@@ -1,6 +1,7 @@
 package org.guavathread.gateway.call;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -8,6 +9,7 @@
 import java.util.Set;
 
 import org.guavathread.core.dispatch.EngineWork;
+import org.guavathread.core.dispatch.WaitingRank;
 import org.guavathread.core.request.Refusal;
 import org.guavathread.core.request.RefusalCode;
 import org.guavathread.core.routing.RouteRule;
@@ -33,9 +35,23 @@
     /** Time after which a caller may return with a request that crashed backend servers. */
     private static final long CRASH_RETURN_MILLIS = 5_000;
 
+    /** What hosts tell each other about their work on engines. */
+    public interface FleetLoad {
+
+        /** Notes that this host's work on engines, or its requests that wait for room, changed. */
+        void changed();
+
+        /**
+         * Gives the rank of the best request that waits for room at another host.
+         *
+         * @return the rank by the latest reports
+         */
+        WaitingRank bestWaitingElsewhere();
+    }
+
     private final Parts parts;
     private final Exchanges exchanges;
-    private final Runnable onLoadChange;
+    private final FleetLoad load;
     private final Set<Call> calls = new HashSet<>();
     private final Map<ServiceName, RoomQueue> rooms = new HashMap<>();
 
@@ -43,11 +59,11 @@
      * Builds the router.
      *
      * @param parts what the steps share
-     * @param onLoadChange runs when this host's work on engines changed
+     * @param load what this host tells others about its work on engines, and they tell it
      */
-    public RequestRouter(Parts parts, Runnable onLoadChange) {
+    public RequestRouter(Parts parts, FleetLoad load) {
         this.parts = parts;
-        this.onLoadChange = onLoadChange;
+        this.load = load;
         this.exchanges = new Exchanges(parts.loop(), parts.client());
     }
 
@@ -69,6 +85,18 @@
         return rooms.values().stream().mapToInt(RoomQueue::size).sum();
     }
 
+    /**
+     * Gives the rank of the best request that waits for room.
+     *
+     * @return the rank, over all services
+     */
+    public WaitingRank bestWaiting() {
+        return rooms.values().stream()
+                .map(RoomQueue::best)
+                .min(Comparator.naturalOrder())
+                .orElse(WaitingRank.NONE);
+    }
+
     /**
      * Routes a request.
      *
@@ -140,6 +168,7 @@
             refuse(exchange, request.attemptId(), refusal.retryAfter(returnMillis));
             return;
         }
+        workspace.ifPresent(w -> parts.shares().used(w.id(), charge, now));
         parts.retries().requestArrived(service, now);
         long deadlineMillis = Math.min(request.deadlineMillis(), exchange.arrivedAtMillis() + rule.timeoutMillis());
         Admitted admitted =
@@ -164,20 +193,30 @@
         Call[] call = new Call[1];
         Runnable onEnd = () -> calls.remove(call[0]);
         call[0] = engine.isPresent()
-                ? new StreamCall(parts, admitted, workOf(admitted), engine.get(), exchanges, roomOf(admitted), onEnd)
+                ? new StreamCall(
+                        parts,
+                        admitted,
+                        workOf(admitted, engine.get()),
+                        engine.get(),
+                        exchanges,
+                        roomOf(admitted),
+                        onEnd)
                 : new PlainCall(parts, admitted, exchanges, onEnd);
         calls.add(call[0]);
         call[0].begin();
     }
 
     private RoomQueue roomOf(Admitted admitted) {
-        return rooms.computeIfAbsent(admitted.service(), service -> new RoomQueue(parts.loop(), onLoadChange));
+        return rooms.computeIfAbsent(
+                admitted.service(),
+                service -> new RoomQueue(parts.loop(), load::changed, load::bestWaitingElsewhere, parts.shares()));
     }
 
     /** A request that states no size is as large as its workspace is charged for it. */
-    private static EngineWork workOf(Admitted admitted) {
+    private static EngineWork workOf(Admitted admitted, ServiceTerms.EngineTerms engine) {
         int tokens = (int) Math.max(1, admitted.charge());
-        return admitted.request().work().orElse(new EngineWork(tokens, tokens, tokens, false));
+        EngineWork work = admitted.request().work().orElse(new EngineWork(tokens, tokens, tokens, 0, false));
+        return work.withSlotTokens(engine.slotTokens());
     }
 
     private void refuse(CallerExchange exchange, String attemptId, Refusal refusal) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RoomQueue.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RoomQueue.java
@@ -1,6 +1,10 @@
 package org.guavathread.gateway.call;
 
+import java.util.function.Supplier;
+
 import org.guavathread.core.dispatch.WaitingLine;
+import org.guavathread.core.dispatch.WaitingRank;
+import org.guavathread.core.share.DemandShares;
 import org.guavathread.gateway.loop.EventLoop;
 
 /**
@@ -14,35 +18,51 @@
 
     private final EventLoop loop;
     private final Runnable onChange;
-    private final WaitingLine<StreamCall> line = new WaitingLine<>();
+    private final Supplier<WaitingRank> elsewhere;
+    private final WaitingLine<StreamCall> line;
     private EventLoop.Timer timer;
     private StreamCall trying;
 
-    RoomQueue(EventLoop loop, Runnable onChange) {
+    /**
+     * Builds a queue.
+     *
+     * @param loop the thread on which requests are decided
+     * @param onChange runs when the room that requests use or wait for changed
+     * @param elsewhere gives the rank of the best request that waits at another host
+     * @param shares compares the workspaces' use
+     */
+    RoomQueue(EventLoop loop, Runnable onChange, Supplier<WaitingRank> elsewhere, DemandShares shares) {
         this.loop = loop;
         this.onChange = onChange;
+        this.elsewhere = elsewhere;
+        this.line = new WaitingLine<>(shares);
     }
 
     /** Lets a request wait; false if it would wait in vain. */
-    boolean wait(StreamCall call, long onTimeUntilMillis, long giveUpAtMillis) {
+    boolean wait(StreamCall call, WaitingLine.Place place) {
         if (trying == call) {
             trying = null;
         }
-        boolean waits =
-                line.add(call, call.exchange().arrivedAtMillis(), onTimeUntilMillis, giveUpAtMillis, loop.nowMillis());
+        boolean waits = line.add(call, place, loop.nowMillis());
         if (waits) {
             arm();
+            onChange.run();
         }
         return waits;
     }
 
-    int size() {
-        return line.size();
+    /** Gives the rank of the best waiting request. */
+    WaitingRank best() {
+        return line.best(loop.nowMillis());
     }
 
-    /** Tells whether requests wait that came before a new one. */
-    boolean hasWaiting() {
-        return line.size() > 0;
+    /** Tells whether a new request is to wait for others. */
+    boolean isBehind(WaitingLine.Place place) {
+        return line.isBehind(place, loop.nowMillis());
+    }
+
+    int size() {
+        return line.size();
     }
 
     long drainMillis() {
@@ -51,23 +71,22 @@
 
     /** Notes that a request got room; the next one tries at once. */
     void gotRoom(StreamCall call) {
-        left(call, true);
-        onChange.run();
-        tryNext();
+        line.gotRoom(call, loop.nowMillis());
+        left(call);
     }
 
     /** Notes that a request is over. If it had room, that is free now. */
     void ended(StreamCall call) {
-        left(call, false);
-        onChange.run();
-        tryNext();
+        line.ended(call);
+        left(call);
     }
 
-    private void left(StreamCall call, boolean gotRoom) {
-        line.remove(call, gotRoom, loop.nowMillis());
+    private void left(StreamCall call) {
         if (trying == call) {
             trying = null;
         }
+        onChange.run();
+        tryNext();
     }
 
     private void arm() {
@@ -85,7 +104,7 @@
         }
         arm();
         if (trying == null) {
-            line.first(loop.nowMillis()).ifPresent(call -> {
+            line.first(elsewhere.get(), loop.nowMillis()).ifPresent(call -> {
                 trying = call;
                 call.tryRoom();
             });
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -7,11 +7,13 @@
 import org.guavathread.core.dispatch.EnginePlan;
 import org.guavathread.core.dispatch.EngineWork;
 import org.guavathread.core.dispatch.ServerLoads;
+import org.guavathread.core.dispatch.WaitingLine;
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.request.Refusal;
 import org.guavathread.core.request.RefusalCode;
 import org.guavathread.core.routing.ServiceTerms.EngineTerms;
+import org.guavathread.core.routing.WorkspaceTerms;
 import org.guavathread.gateway.form.ReadPrompt;
 import org.guavathread.gateway.form.ReservedRoom;
 import org.guavathread.gateway.loop.EventLoop;
@@ -51,6 +53,12 @@
     /** Part of the target within which a request must get room to be on time: reading its prompt takes the rest. */
     private static final double ON_TIME_SHARE = 0.5;
 
+    /** Callers wait up to this part of their remaining time before they return, by the callers' protocol. */
+    private static final int RETURN_DIVISOR = 3;
+
+    /** Earliest return, as a part of the latest one: bursts last for some seconds. */
+    private static final double LEAST_RETURN_SHARE = 0.5;
+
     private final Exchanges exchanges;
     private final EngineWork work;
     private final EngineTerms engine;
@@ -85,7 +93,7 @@
 
     @Override
     void begin() {
-        if (rooms.hasWaiting()) {
+        if (rooms.isBehind(waitingPlace())) {
             waitForRoom();
         } else {
             place();
@@ -154,7 +162,7 @@
         }
     }
 
-    private void waitForRoom() {
+    private WaitingLine.Place waitingPlace() {
         long arrivedAtMillis = exchange().arrivedAtMillis();
         long targetMillis = admitted.rule().targetMillis();
         // A caller that got a part of its answer counts the silence from the last event, not from its request.
@@ -162,11 +170,18 @@
         long giveUpAtMillis = Math.min(
                 listenedAtMillis + (long) (TARGETS_FOR_ROOM * targetMillis), admitted.deadlineMillis() - targetMillis);
         long onTimeUntilMillis = out == null ? arrivedAtMillis + (long) (ON_TIME_SHARE * targetMillis) : Long.MAX_VALUE;
-        boolean waits = rooms.wait(this, onTimeUntilMillis, giveUpAtMillis);
+        return new WaitingLine.Place(
+                admitted.workspace().map(WorkspaceTerms::id), arrivedAtMillis, onTimeUntilMillis, giveUpAtMillis);
+    }
+
+    private void waitForRoom() {
+        WaitingLine.Place place = waitingPlace();
+        boolean waits = rooms.wait(this, place);
         log("wait")
                 .with("outcome", waits ? "waits" : "refused")
                 .with("full", full.size())
-                .with("untilMillis", giveUpAtMillis - now())
+                .with("untilMillis", place.giveUpAtMillis() - now())
+                .with("best", rooms.best())
                 .with("lineMillis", rooms.drainMillis())
                 .write();
         if (!waits) {
@@ -187,7 +202,7 @@
                 .with("remainingMillis", remainingMillis())
                 .write();
         boolean readsItself = !split && usablePrompt().isEmpty();
-        runTicket = parts.loads().open(decode.id(), readsItself ? work.promptTokens() : 0, work.heldTokens());
+        runTicket = parts.loads().open(decode.id(), readsItself ? work.promptTokens() : 0, work.occupiedTokens());
         if (engine.reserveMillis() == 0) {
             reserved(plan, split);
             return;
@@ -384,6 +399,17 @@
         end(outcome, 0);
     }
 
+    /**
+     * Spreads returning callers over the time after which they may come back. A summary that found no room is late in any
+     * case; soon after, it would meet the same burst.
+     */
+    @Override
+    long returnMillis() {
+        double share =
+                LEAST_RETURN_SHARE + (1 - LEAST_RETURN_SHARE) * parts.random().nextDouble();
+        return Math.max(super.returnMillis(), (long) (share * remainingMillis() / RETURN_DIVISOR));
+    }
+
     boolean isOpen() {
         return out != null;
     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/Reporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/Reporter.java
@@ -1,8 +1,8 @@
 package org.guavathread.gateway.fleet;
 
 import java.util.List;
-import java.util.function.IntSupplier;
 
+import org.guavathread.core.dispatch.WaitingRank;
 import org.guavathread.core.gossip.FleetView;
 import org.guavathread.core.gossip.GossipPacket;
 import org.guavathread.core.gossip.HostPhase;
@@ -11,12 +11,13 @@
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.gateway.call.Parts;
+import org.guavathread.gateway.call.RequestRouter;
 import org.guavathread.router.http.HttpAnswer;
 import org.guavathread.wire.CodecException;
 import org.tinylog.Logger;
 
 /** Tells other hosts about this one, and applies what they tell. Runs on the event loop's thread. */
-public final class Reporter {
+public final class Reporter implements RequestRouter.FleetLoad {
 
     /** Time between two reports; a host is out of reach after five missed ones. */
     private static final long EVERY_MILLIS = 250;
@@ -59,7 +60,7 @@
     private long sentAtMillis;
     private long summedAtMillis;
     private boolean soon;
-    private IntSupplier waiting = () -> 0;
+    private RequestRouter router;
 
     /**
      * Builds the reporter.
@@ -101,10 +102,10 @@
     /**
      * Reports now and at regular times from now on.
      *
-     * @param requestsWaiting counts this host's requests that wait for room
+     * @param requests counts this host's requests that wait for room
      */
-    public void start(IntSupplier requestsWaiting) {
-        waiting = requestsWaiting;
+    public void start(RequestRouter requests) {
+        router = requests;
         repeat();
     }
 
@@ -123,9 +124,10 @@
     }
 
     /** Reports a change of this host's load before the next regular time, if requests wait anywhere. */
-    public void loadChanged() {
+    @Override
+    public void changed() {
         long now = parts.loop().nowMillis();
-        if (soon || waiting.getAsInt() == 0 && !fleet.othersWait(now)) {
+        if (soon || router.waiting() == 0 && !fleet.othersWait(now)) {
             return;
         }
         soon = true;
@@ -135,6 +137,11 @@
         });
     }
 
+    @Override
+    public WaitingRank bestWaitingElsewhere() {
+        return fleet.bestWaitingElsewhere(parts.loop().nowMillis());
+    }
+
     /**
      * Applies what another host tells.
      *
@@ -150,9 +157,10 @@
         if (!fleet.hear(report, now)) {
             return;
         }
-        report.admitted()
-                .forEach(total ->
-                        parts.limits().report(report.host(), report.incarnation(), total.workspace(), total.units()));
+        report.admitted().forEach(total -> {
+            double news = parts.limits().report(report.host(), report.incarnation(), total.workspace(), total.units());
+            parts.shares().used(total.workspace(), news, now);
+        });
         parts.suspects().report(report.host(), report.crashed(), now);
         if (now - summedAtMillis >= SUM_MILLIS) {
             summedAtMillis = now;
@@ -164,6 +172,7 @@
         long now = parts.loop().nowMillis();
         sentAtMillis = now;
         fleet.expire(now);
+        parts.shares().expire(now);
         parts.limits().reachable(fleet.reachableShare(now));
         parts.retries().hosts(fleet.size());
         parts.loads().others(fleet.loadOfOthers(now));
@@ -240,7 +249,8 @@
                 parts.state().revision(),
                 parts.limits().totals(),
                 fleet.withinReach(nowMillis).size() + 1,
-                waiting.getAsInt(),
+                router.waiting(),
+                router.bestWaiting(),
                 parts.loads().report(),
                 parts.suspects().report(nowMillis));
     }
