--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/WaitingLine.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/WaitingLine.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -114,6 +115,19 @@
                 .map(Map.Entry::getKey);
     }
 
+    /**
+     * Gives the requests whose callers stop listening.
+     *
+     * @param nowMillis the current time
+     * @return requests that are to be refused now
+     */
+    public List<T> overdue(long nowMillis) {
+        return waiting.entrySet().stream()
+                .filter(e -> nowMillis >= e.getValue().giveUpAtMillis())
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
     private WaitingRank rankOf(Place place, long nowMillis) {
         if (nowMillis > place.onTimeUntilMillis()) {
             return WaitingRank.LATE;
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/WaitingLineTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/WaitingLineTest.java
@@ -34,6 +34,8 @@
         line.add("on time", place(CALM, 600), 600);
         assertEquals(Optional.of("on time"), line.first(WaitingRank.ON_TIME, 600));
         assertEquals(WaitingRank.ON_TIME, line.best(600));
+        assertEquals(List.of(), line.overdue(2_699));
+        assertEquals(List.of("late"), line.overdue(2_700), "it is refused although it never came first");
     }
 
     @Test
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
@@ -191,9 +191,6 @@
         if (hasRun() && refusal.code().httpStatus() == 503) {
             stated = Refusal.unknown(RefusalCode.BACKEND_FAILED, refusal.message());
         }
-        if (!hasRun()) {
-            admitted.workspace().ifPresent(this::giveBack);
-        }
         Refusals.write(exchange(), stated, parts.callers().headersOf(stated));
         end("refused " + stated.code(), stated.code().httpStatus());
     }
@@ -222,6 +219,9 @@
             return;
         }
         ended = true;
+        if (!hasRun()) {
+            admitted.workspace().ifPresent(this::giveBack);
+        }
         deadline.cancel();
         cancelRunning();
         release();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RoomQueue.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RoomQueue.java
@@ -103,6 +103,7 @@
             return;
         }
         arm();
+        line.overdue(loop.nowMillis()).forEach(StreamCall::waitedTooLong);
         if (trying == null) {
             line.first(elsewhere.get(), loop.nowMillis()).ifPresent(call -> {
                 trying = call;
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -59,6 +59,8 @@
     /** Earliest return, as a part of the latest one: bursts last for some seconds. */
     private static final double LEAST_RETURN_SHARE = 0.5;
 
+    private static final String NO_ROOM = "No engine has room.";
+
     private final Exchanges exchanges;
     private final EngineWork work;
     private final EngineTerms engine;
@@ -140,6 +142,13 @@
         place();
     }
 
+    /** Ends a call that found no room while its caller listens; a later refusal would not reach the caller. */
+    void waitedTooLong() {
+        if (!isEnded()) {
+            giveUp(NO_ROOM);
+        }
+    }
+
     void place() {
         Set<BackendServerId> excluded = new HashSet<>(tried);
         excluded.addAll(full);
@@ -185,7 +194,7 @@
                 .with("lineMillis", rooms.drainMillis())
                 .write();
         if (!waits) {
-            giveUp("No engine has room.");
+            giveUp(NO_ROOM);
         }
     }
 
