--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Parts.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Parts.java
@@ -2,6 +2,7 @@
 
 import java.util.random.RandomGenerator;
 
+import org.guavathread.core.dispatch.AnswerPace;
 import org.guavathread.core.dispatch.CrashSuspects;
 import org.guavathread.core.dispatch.EngineDispatch;
 import org.guavathread.core.dispatch.PlainDispatch;
@@ -30,6 +31,7 @@
  * @param health outcome of earlier requests
  * @param plain choice of a server for plain requests
  * @param engines choice of engines for language requests
+ * @param pace how long engines take for an answer
  * @param suspects requests that crash backend servers
  * @param client sends to backend servers
  * @param callers the callers' protocol
@@ -48,6 +50,7 @@
         ServerHealth health,
         PlainDispatch plain,
         EngineDispatch engines,
+        AnswerPace pace,
         CrashSuspects suspects,
         HttpClient client,
         CallerForm callers,
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
@@ -164,7 +164,8 @@
         if (waitMillis > 0) {
             long returnMillis = Math.min(MAX_LIMIT_RETURN_MILLIS, waitMillis)
                     + (long) (parts.random().nextDouble() * waitMillis / 2);
-            Refusal refusal = Refusal.notRun(RefusalCode.RATE_LIMITED, "The workspace has used up its rate.");
+            Refusal refusal =
+                    Refusal.notRun(RefusalCode.RATE_LIMITED, rateMessage(workspace.get(), charge, waitMillis));
             refuse(exchange, request.attemptId(), refusal.retryAfter(returnMillis));
             return;
         }
@@ -187,6 +188,12 @@
         start(admitted, table);
     }
 
+    private static String rateMessage(WorkspaceTerms workspace, double charge, long waitMillis) {
+        return "Workspace " + workspace.id() + " has used up its rate of " + workspace.unitsPerSecond()
+                + " units a second and its burst of " + workspace.burstUnits() + "; this request of " + charge
+                + " units has room in " + waitMillis + " ms.";
+    }
+
     private void start(Admitted admitted, RoutingTable table) {
         Optional<ServiceTerms.EngineTerms> engine =
                 table.service(admitted.service()).flatMap(ServiceTerms::engine);
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -74,6 +74,7 @@
     private Optional<ReservedRoom> room = Optional.empty();
     private Optional<String> lastEventId;
     private boolean readTried;
+    private long firstEventAtMillis;
     private long lastEventAtMillis;
     private int sends;
 
@@ -416,7 +417,12 @@
     long returnMillis() {
         double share =
                 LEAST_RETURN_SHARE + (1 - LEAST_RETURN_SHARE) * parts.random().nextDouble();
-        return Math.max(super.returnMillis(), (long) (share * remainingMillis() / RETURN_DIVISOR));
+        long latestMillis = Math.min(
+                remainingMillis() / RETURN_DIVISOR,
+                parts.pace()
+                        .latestReturnMillis(
+                                remainingMillis(), admitted.rule().targetMillis(), work.expectedOutputTokens()));
+        return Math.max(super.returnMillis(), (long) (share * latestMillis));
     }
 
     boolean isOpen() {
@@ -462,13 +468,17 @@
             end("caller gone", 0);
             return false;
         }
-        long millis = now() - exchange().arrivedAtMillis();
+        firstEventAtMillis = now();
+        long millis = firstEventAtMillis - exchange().arrivedAtMillis();
         parts.metrics().firstByte(admitted.rule().kind(), millis);
         log("first").with("server", run.worker().id()).with("millis", millis).write();
         return true;
     }
 
     void finish(int status) {
+        if (sends == 1) {
+            parts.pace().answered(work.expectedOutputTokens(), now() - firstEventAtMillis);
+        }
         out.finish();
         end("answered", status);
     }
