--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineRun.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineRun.java
@@ -84,7 +84,7 @@
 
     /** Handles an answer that is no stream. */
     private void endedOtherwise() {
-        call.closeTickets();
+        call.endCounts();
         call.log("result")
                 .with("server", worker.id())
                 .with("meaning", meaning)
@@ -135,7 +135,7 @@
     private void notSent(HttpExchangeException failure) {
         over = true;
         call.idle();
-        call.closeTickets();
+        call.endCounts();
         call.notSentTo();
         call.log("result")
                 .with("server", worker.id())
@@ -166,7 +166,7 @@
             call.ran();
         }
         call.cancelRunning();
-        call.closeTickets();
+        call.endCounts();
         call.log("result")
                 .with("server", worker.id())
                 .with("meaning", "BROKEN")
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -6,7 +6,6 @@
 
 import org.guavathread.core.dispatch.EnginePlan;
 import org.guavathread.core.dispatch.EngineWork;
-import org.guavathread.core.dispatch.ServerLoads;
 import org.guavathread.core.dispatch.WaitingLine;
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.registry.Worker;
@@ -44,9 +43,6 @@
     /** A reservation is a small call; an engine that does not answer it within this time does not work. */
     private static final long RESERVE_MILLIS = 400;
 
-    /** A KV cache or reservation must have at least this long to live when it is used. */
-    private static final long USE_MARGIN_MILLIS = 100;
-
     /** A request waits for room this long, in targets of its route: callers leave after four without an event. */
     private static final double TARGETS_FOR_ROOM = 3;
 
@@ -66,12 +62,9 @@
     private final EngineTerms engine;
     private final RoomQueue rooms;
     private final Set<BackendServerId> full = new HashSet<>();
-    private ServerLoads.Ticket readTicket;
-    private ServerLoads.Ticket runTicket;
+    private final EngineHoldings holdings;
     private EventLoop.Timer silence;
     private CallerExchange.StreamBody out;
-    private Optional<ReadPrompt> prompt = Optional.empty();
-    private Optional<ReservedRoom> room = Optional.empty();
     private Optional<String> lastEventId;
     private boolean readTried;
     private long firstEventAtMillis;
@@ -91,6 +84,7 @@
         this.exchanges = exchanges;
         this.engine = engine;
         this.work = work;
+        this.holdings = new EngineHoldings(parts, engine);
         this.lastEventId = request().lastEventId();
     }
 
@@ -105,27 +99,19 @@
 
     @Override
     void release() {
-        closeTickets();
+        holdings.endCounts();
         if (silence != null) {
             silence.cancel();
             silence = null;
         }
         if (isEnded()) {
-            freePrompt();
-            giveRoomBack();
+            holdings.giveBack();
             rooms.ended(this);
         }
     }
 
-    void closeTickets() {
-        if (readTicket != null) {
-            readTicket.close();
-            readTicket = null;
-        }
-        if (runTicket != null) {
-            runTicket.close();
-            runTicket = null;
-        }
+    void endCounts() {
+        holdings.endCounts();
     }
 
     @Override
@@ -211,15 +197,15 @@
                 .with("queuedTokens", parts.loads().promptTokens(decode.id()))
                 .with("remainingMillis", remainingMillis())
                 .write();
-        boolean readsItself = !split && usablePrompt().isEmpty();
-        runTicket = parts.loads().open(decode.id(), readsItself ? work.promptTokens() : 0, work.occupiedTokens());
+        boolean readsItself = !split && !(out == null && holdings.hasUsablePrompt());
+        holdings.countRun(decode.id(), readsItself ? work.promptTokens() : 0, work.occupiedTokens());
         if (engine.reserveMillis() == 0) {
             reserved(plan, split);
             return;
         }
         if (split) {
             // The queue of the prefill engine grows from now on, not only when the reservation is confirmed.
-            readTicket = parts.loads().open(plan.prefill().get().id(), work.promptTokens(), work.promptTokens());
+            holdings.countRead(plan.prefill().get().id(), work.promptTokens());
         }
         long expiresAtMillis = now() + engine.reserveMillis();
         running(exchanges.whole(
@@ -227,9 +213,9 @@
                 parts.workers().reserve(decode, work.heldTokens(), engine.reserveMillis(), now() + RESERVE_MILLIS),
                 answer -> {
                     Optional<ReservedRoom> got = parts.workers().roomOf(decode, answer, expiresAtMillis);
-                    room = got.or(() -> room);
+                    got.ifPresent(holdings::keep);
                     if (isEnded()) {
-                        giveRoomBack();
+                        holdings.giveBack();
                     } else if (got.isPresent()) {
                         parts.metrics().sent("reserve", "RAN");
                         idle();
@@ -248,7 +234,7 @@
 
     private void noRoom(Worker decode, String reason) {
         idle();
-        closeTickets();
+        holdings.endCounts();
         full.add(decode.id());
         parts.metrics().sent("reserve", "NOT_RUN");
         log("result")
@@ -283,9 +269,10 @@
     }
 
     private void promptRead(Worker prefill, EnginePlan plan, HttpAnswer answer) {
-        prompt = parts.workers().readPromptOf(prefill, answer, now());
+        Optional<ReadPrompt> prompt = parts.workers().readPromptOf(prefill, answer, now());
+        prompt.ifPresent(holdings::keep);
         if (isEnded()) {
-            freePrompt();
+            holdings.giveBack();
             return;
         }
         if (prompt.isEmpty()) {
@@ -295,26 +282,19 @@
             return;
         }
         idle();
-        closeReadTicket();
+        holdings.endRead();
         parts.metrics().sent("read", "RAN");
         parts.health().succeeded(prefill.id());
         generate(plan.decode(), plan.expectedMillis());
     }
 
-    private void closeReadTicket() {
-        if (readTicket != null) {
-            readTicket.close();
-            readTicket = null;
-        }
-    }
-
     /** Lets the generating engine read the prompt itself, in the room that it has reserved. */
     private void readFailed(Worker prefill, EnginePlan plan, boolean rejected, Throwable failure) {
         if (isEnded()) {
             return;
         }
         idle();
-        closeReadTicket();
+        holdings.endRead();
         parts.metrics().sent("read", rejected ? "NOT_RUN" : "BROKEN");
         log("result")
                 .with("server", prefill.id())
@@ -336,11 +316,9 @@
     private void generate(Worker worker, double expectedMillis) {
         tried.add(worker.id());
         sends++;
-        Optional<ReadPrompt> usable = usablePrompt();
-        Optional<ReservedRoom> reserved =
-                room.filter(r -> r.engine().equals(worker) && now() < r.expiresAtMillis() - USE_MARGIN_MILLIS);
-        room = Optional.empty();
-        prompt = Optional.empty();
+        // A stream that goes on at another engine has its prompt and the tokens generated so far read there.
+        Optional<ReadPrompt> usable = out == null ? holdings.takePrompt() : Optional.empty();
+        Optional<ReservedRoom> reserved = holdings.takeRoom(worker);
         log("send")
                 .with("server", worker.id())
                 .with("promptFrom", usable.map(p -> p.engine().id().value()).orElse("itself"))
@@ -356,26 +334,6 @@
                 run));
     }
 
-    private Optional<ReadPrompt> usablePrompt() {
-        return out != null
-                ? Optional.empty()
-                : prompt.filter(p -> now() - p.readAtMillis() < engine.handleMillis() - USE_MARGIN_MILLIS);
-    }
-
-    private void freePrompt() {
-        prompt.ifPresent(
-                p -> parts.client().send(p.engine().address(), parts.workers().free(p)));
-        prompt = Optional.empty();
-    }
-
-    private void giveRoomBack() {
-        room.filter(r -> now() < r.expiresAtMillis())
-                .ifPresent(r -> parts.client()
-                        .send(r.engine().address(), parts.workers().giveBack(r)));
-        room = Optional.empty();
-    }
-
-    /** Cutting a stream that cannot go on elsewhere gains nothing: its engine may still answer. */
     private void silenceAt(long atMillis, EngineRun run) {
         if (silence != null) {
             silence.cancel();
@@ -450,7 +408,7 @@
         if (out == null && !open(run, head)) {
             return;
         }
-        runTicket.promptRead();
+        holdings.noteFirstEvent();
         lastEventAtMillis = now();
         if (!out.write(events)) {
             end("caller gone", 0);
