Tell of many hosts by signs of life, since a datagram has room for one large report

Cause: a report with load and totals fills half of a datagram, so one other report was passed on with it. A datagram now carries 48 signs of life (16 bytes each). A sign of an unknown process makes the host ask the sender. Ruled out by the test: 24 signs (72 of 76 hosts in view), more signs of life passed on by age. Before: liveHostsStayWithinReachWhenReportsAreLarge has 28 of 76 hosts in view. After: 76, and no host asks for reports.

--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
@@ -28,8 +28,11 @@
     /** A host is taken as out of reach after this time without a new report: five reports lost in a row. */
     public static final long REACH_MILLIS = 1_300;
 
-    /** Hosts whose reports all arrive within that time; in larger fleets reports travel longer, in proportion. */
-    private static final int HOSTS_PER_REACH = 80;
+    /** Hosts whose signs of life all arrive within that time; in larger fleets they travel longer, in proportion. */
+    private static final int HOSTS_PER_REACH = 40;
+
+    /** Longest time without a sign of life, in fleets of any size: callers keep an address for about as long. */
+    private static final long MAX_REACH_MILLIS = 8_000;
 
     /** Shortest time between two questions for all reports; an answer of 410 hosts has about 60 KB. */
     private static final long ASK_EVERY_MILLIS = 2_500;
@@ -51,17 +54,44 @@
      */
     public static final int FAN_OUT = 4;
 
-    /** The latest report of a host, and how often it was passed on. */
+    /** The latest report of a host, its latest sign of life, and how often each was passed on. */
     private static final class Known {
-        private final HostReport report;
-        private final long heardAtMillis;
+        private HostReport report;
+        private long sequence;
+        private long heardAtMillis;
         private int passes;
+        private int signPasses;
 
         private Known(HostReport report, long heardAtMillis) {
             this.report = report;
+            this.sequence = report.sequence();
             this.heardAtMillis = heardAtMillis;
         }
 
+        /** Takes a later report of the same process; a sign of life may have been ahead of it. */
+        private void replace(HostReport later, long nowMillis) {
+            boolean isLatest = later.sequence() > sequence;
+            report = isLatest ? later : later.withPhase(report.phase());
+            passes = 0;
+            if (isLatest) {
+                alive(later.sequence(), nowMillis);
+            }
+        }
+
+        private int process() {
+            return HostSign.processOf(report.host(), report.incarnation());
+        }
+
+        private HostSign sign() {
+            return new HostSign(process(), sequence, report.phase());
+        }
+
+        private void alive(long later, long nowMillis) {
+            signPasses = 0;
+            sequence = later;
+            heardAtMillis = nowMillis;
+        }
+
         private HostReport report() {
             return report;
         }
@@ -72,20 +102,27 @@
     }
 
     private final HostId self;
+    private final int ownProcess;
     private final List<SocketAddressText> seeds;
     private final RandomGenerator random;
     private final Map<HostId, Known> known = new HashMap<>();
+    private final Map<Integer, Known> byProcess = new HashMap<>();
     private long askAgainAtMillis;
 
+    /** Host that told of one that is not known here; null if none did. */
+    private HostId knowsMore;
+
     /**
      * Builds a view.
      *
      * @param self this host
+     * @param incarnation start time of its process
      * @param seeds addresses at which other hosts may be found; any of them may be out of date
      * @param random source of random numbers
      */
-    public FleetView(HostId self, List<SocketAddressText> seeds, RandomGenerator random) {
+    public FleetView(HostId self, long incarnation, List<SocketAddressText> seeds, RandomGenerator random) {
         this.self = self;
+        this.ownProcess = HostSign.processOf(self, incarnation);
         this.seeds = List.copyOf(seeds);
         this.random = random;
     }
@@ -105,10 +142,58 @@
         if (before != null && !report.isNewerThan(before.report())) {
             return false;
         }
-        known.put(report.host(), new Known(report, nowMillis));
+        if (before != null && before.report().incarnation() == report.incarnation()) {
+            before.replace(report, nowMillis);
+        } else {
+            Known next = new Known(report, nowMillis);
+            known.put(report.host(), next);
+            byProcess.put(next.process(), next);
+        }
         return true;
     }
 
+    /**
+     * Takes a sign of life. One of a host or process that is not known says too little; the sender has its report.
+     *
+     * @param sign what another host heard
+     * @param sender the other host
+     * @param nowMillis the current time
+     */
+    public void hear(HostSign sign, HostId sender, long nowMillis) {
+        if (sign.process() == ownProcess) {
+            return;
+        }
+        Known before = byProcess.get(sign.process());
+        if (before == null) {
+            knowsMore = sender;
+            return;
+        }
+        if (sign.sequence() <= before.sequence) {
+            return;
+        }
+        before.alive(sign.sequence(), nowMillis);
+        if (before.report().phase() != sign.phase()) {
+            before.report = before.report().withPhase(sign.phase());
+        }
+    }
+
+    /**
+     * Gives signs of life for passing on.
+     *
+     * @param limit greatest number of signs
+     * @param nowMillis the current time
+     * @return signs of hosts within reach, those first that were passed on least often
+     */
+    public List<HostSign> signs(int limit, long nowMillis) {
+        List<Known> alive = new ArrayList<>(known.values());
+        alive.removeIf(k -> nowMillis - k.heardAtMillis() > reachMillis());
+        Collections.shuffle(alive, new java.util.Random(random.nextLong()));
+        alive.sort(Comparator.comparingInt(k -> k.signPasses));
+        List<Known> chosen = alive.subList(0, Math.min(limit, alive.size()));
+        chosen.forEach(k -> k.signPasses++);
+        return chosen.stream().map(Known::sign).toList();
+    }
+
     /**
      * Forgets hosts that have been out of reach for long.
      *
@@ -116,6 +201,8 @@
      */
     public void expire(long nowMillis) {
         known.values().removeIf(k -> nowMillis - k.heardAtMillis() > REMEMBER_MILLIS);
+        // Processes that ended stay here for a while, so that late signs of them are no news.
+        byProcess.values().removeIf(k -> nowMillis - k.heardAtMillis() > REMEMBER_MILLIS);
     }
 
     /**
@@ -152,8 +239,10 @@
             return Optional.empty();
         }
         List<HostReport> others = withinReach(nowMillis);
-        List<HostReport> ahead =
-                others.stream().filter(r -> r.withinReach() > others.size() + 1).toList();
+        List<HostReport> ahead = others.stream()
+                .filter(r -> r.withinReach() > others.size() + 1 || r.host().equals(knowsMore))
+                .toList();
+        knowsMore = null;
         if (ahead.isEmpty()) {
             return Optional.empty();
         }
@@ -176,7 +265,8 @@
     }
 
     private long reachMillis() {
-        return REACH_MILLIS * Math.max(HOSTS_PER_REACH, known.size()) / HOSTS_PER_REACH;
+        long millis = REACH_MILLIS * Math.max(HOSTS_PER_REACH, known.size()) / HOSTS_PER_REACH;
+        return Math.min(MAX_REACH_MILLIS, millis);
     }
 
     /**
@@ -191,9 +281,18 @@
         news.removeIf(k -> nowMillis - k.heardAtMillis() > reachMillis());
         Collections.shuffle(news, new java.util.Random(random.nextLong()));
         news.sort(Comparator.comparingInt(k -> k.passes));
-        List<Known> chosen = news.subList(0, Math.min(limit, news.size()));
-        chosen.forEach(k -> k.passes++);
-        return chosen.stream().map(Known::report).toList();
+        return news.subList(0, Math.min(limit, news.size())).stream()
+                .map(Known::report)
+                .toList();
+    }
+
+    /**
+     * Notes that reports were passed on.
+     *
+     * @param reports reports that fitted into a datagram
+     */
+    public void passedOn(List<HostReport> reports) {
+        reports.forEach(r -> known.get(r.host()).passes++);
     }
 
     /**
--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/GossipPacket.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/GossipPacket.java
@@ -9,5 +9,6 @@
  *
  * @param own the sender's report
  * @param others reports of other hosts, passed on
+ * @param signs signs of life of further hosts
  */
-public record GossipPacket(HostReport own, List<HostReport> others) implements PeerMessage {}
+public record GossipPacket(HostReport own, List<HostReport> others, List<HostSign> signs) implements PeerMessage {}
--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
@@ -75,6 +75,30 @@
      */
     public record ServerLoad(BackendServerId server, int promptTokens, int heldTokens) {}
 
+    /**
+     * Gives this report with a phase that was heard of later.
+     *
+     * @param later the phase
+     * @return the changed report
+     */
+    public HostReport withPhase(HostPhase later) {
+        return new HostReport(
+                host,
+                incarnation,
+                sequence,
+                dataCentre,
+                callers,
+                peers,
+                later,
+                storeRevision,
+                admitted,
+                withinReach,
+                waiting,
+                best,
+                load,
+                crashed);
+    }
+
     /**
      * Tells whether this report is newer than another one of the same host.
      *
--- a/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
@@ -19,6 +19,7 @@
 /** Guards against hosts that never find each other, and against callers who are sent to hosts that are gone. */
 class FleetViewTest {
 
+    private static final HostId OTHER = new HostId("h3");
     private static final DataCentreId HERE = new DataCentreId("talca");
 
     /** Hosts that exchange reports over a network without delay; hosts that are down neither send nor receive. */
@@ -28,11 +29,13 @@
         private final List<SocketAddressText> addresses = new ArrayList<>();
         private final Map<SocketAddressText, Long> incarnations = new HashMap<>();
         private long sequence;
+        private int asked;
+        private int passedOn = 8;
         private WaitingRank best = WaitingRank.NONE;
 
         void start(int number, List<SocketAddressText> seeds, long now) {
             SocketAddressText address = address(number);
-            views.put(address, new FleetView(new HostId("h" + number), seeds, new SplittableRandom(number)));
+            views.put(address, new FleetView(new HostId("h" + number), now, seeds, new SplittableRandom(number)));
             incarnations.put(address, now);
             if (!addresses.contains(address)) {
                 addresses.add(address);
@@ -50,12 +53,15 @@
                     continue;
                 }
                 HostReport own = report(from, now);
-                List<HostReport> others = view.toPassOn(8, now);
+                List<HostReport> others = view.toPassOn(passedOn, now);
+                view.passedOn(others);
+                List<HostSign> signs = view.signs(48, now);
                 for (SocketAddressText to : view.receivers(from)) {
                     FleetView receiver = views.get(to);
                     if (receiver != null) {
                         receiver.hear(own, now);
                         others.forEach(r -> receiver.hear(r, now));
+                        signs.forEach(sign -> receiver.hear(sign, own.host(), now));
                     }
                 }
                 view.behind(now).ifPresent(ahead -> ask(view, ahead, now));
@@ -63,6 +69,7 @@
         }
 
         private void ask(FleetView view, HostReport ahead, long now) {
+            asked++;
             FleetView asked = views.get(ahead.peers());
             if (asked != null) {
                 view.hear(report(ahead.peers(), now), now);
@@ -132,6 +139,50 @@
         return now >= 0;
     }
 
+    /**
+     * Guards against live hosts that drop out of each other's view, and with them their share of the limits, because
+     * reports with load and totals are so large that a datagram passes on a single one.
+     */
+    @Test
+    void liveHostsStayWithinReachWhenReportsAreLarge() {
+        Fleet fleet = new Fleet();
+        fleet.passedOn = 1;
+        for (int i = 1; i <= 77; i++) {
+            fleet.start(i, List.of(address(1)), 0);
+        }
+        long now = run(fleet, 0, 15_000);
+        int asked = fleet.asked;
+        for (int round = 0; round < 40; round++) {
+            now = run(fleet, now, 250);
+            for (int i = 1; i <= 77; i++) {
+                assertEquals(76, fleet.view(i).withinReach(now).size(), "host " + i + " at " + now);
+            }
+        }
+        assertEquals(asked, fleet.asked, "hosts that know everybody ask nobody");
+    }
+
+    private static int process(long incarnation) {
+        return HostSign.processOf(new HostId("h2"), incarnation);
+    }
+
+    @Test
+    void aSignOfLifeTellsThePhaseAndNeverGoesBack() {
+        FleetView view = new FleetView(new HostId("h1"), 0, List.of(), new SplittableRandom(1));
+        Fleet fleet = new Fleet();
+        fleet.start(2, List.of(), 50);
+        HostReport first = fleet.report(address(2), 100);
+        HostReport second = fleet.report(address(2), 200);
+        view.hear(new HostSign(process(50), 9, HostPhase.READY), OTHER, 100);
+        assertEquals(List.of(), view.withinReach(100), "a sign of an unknown host says too little");
+        view.hear(first, 100);
+        view.hear(new HostSign(process(50), second.sequence() + 5, HostPhase.LEAVING), OTHER, 300);
+        assertEquals(List.of(), view.callerAddresses(HERE, 300));
+        assertTrue(view.hear(second, 400), "its load is news");
+        assertEquals(List.of(), view.callerAddresses(HERE, 400), "the phase of an older report is not");
+        view.hear(new HostSign(process(49), 99, HostPhase.READY), OTHER, 500);
+        assertEquals(List.of(), view.callerAddresses(HERE, 500), "the sign is of an earlier process");
+    }
+
     @Test
     void aHostWhoseSeedsAreAllDeadIsFoundByThoseThatRememberIt() {
         Fleet fleet = new Fleet();
@@ -165,7 +216,7 @@
 
     @Test
     void anOlderReportOfTheSameHostChangesNothing() {
-        FleetView view = new FleetView(new HostId("h1"), List.of(), new SplittableRandom(1));
+        FleetView view = new FleetView(new HostId("h1"), 0, List.of(), new SplittableRandom(1));
         Fleet fleet = new Fleet();
         fleet.start(2, List.of(), 50);
         HostReport first = fleet.report(address(2), 100);
@@ -178,7 +229,7 @@
 
     @Test
     void waitingRequestsOfOthersAreForgottenSoonAfterTheirReport() {
-        FleetView view = new FleetView(new HostId("h1"), List.of(), new SplittableRandom(1));
+        FleetView view = new FleetView(new HostId("h1"), 0, List.of(), new SplittableRandom(1));
         Fleet fleet = new Fleet();
         fleet.start(2, List.of(), 0);
         fleet.best = WaitingRank.ON_TIME;
@@ -217,7 +268,7 @@
 
     @Test
     void aHostAloneWorksAlone() {
-        FleetView view = new FleetView(new HostId("h1"), List.of(address(9)), new SplittableRandom(1));
+        FleetView view = new FleetView(new HostId("h1"), 0, List.of(address(9)), new SplittableRandom(1));
         assertEquals(1, view.reachableShare(5_000));
         assertFalse(view.isFirst(5_000), "a host alone does not act for the fleet");
         assertEquals(List.of(), view.callerAddresses(HERE, 5_000));
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -116,7 +116,7 @@
         SplittableRandom random =
                 new SplittableRandom(startedAtMillis ^ settings.hostId().value().hashCode());
         this.parts = parts(platform, out, random);
-        this.fleet = new FleetView(settings.hostId(), settings.seeds(), random.split());
+        this.fleet = new FleetView(settings.hostId(), startedAtMillis, settings.seeds(), random.split());
         this.entry = new EntryAnswers(settings.listenCallers());
         GossipSocket[] socket = new GossipSocket[1];
         socket[0] = new GossipSocket(settings.listenPeers(), this::heard);
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/Reporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/Reporter.java
@@ -7,6 +7,7 @@
 import org.guavathread.core.gossip.GossipPacket;
 import org.guavathread.core.gossip.HostPhase;
 import org.guavathread.core.gossip.HostReport;
+import org.guavathread.core.gossip.HostSign;
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.sheet.SocketAddressText;
@@ -31,6 +32,9 @@
     /** Reports of other hosts in one datagram, at most. */
     private static final int MAX_PASSED_ON = 8;
 
+    /** Signs of life in one datagram: about 16 bytes each, half of a datagram. */
+    private static final int MAX_SIGNS = 48;
+
     private static final int STATUS_OK = 200;
 
     /**
@@ -150,6 +154,8 @@
     public void hear(GossipPacket packet) {
         hear(packet.own());
         packet.others().forEach(this::hear);
+        long now = parts.loop().nowMillis();
+        packet.signs().forEach(sign -> fleet.hear(sign, packet.own().host(), now));
     }
 
     private void hear(HostReport report) {
@@ -210,7 +216,7 @@
      */
     public byte[] allReports() {
         long now = parts.loop().nowMillis();
-        return relay.encode(new GossipPacket(own(now), fleet.withinReach(now)));
+        return relay.encode(new GossipPacket(own(now), fleet.withinReach(now), List.of()));
     }
 
     private void noteReach(int hosts) {
@@ -225,15 +231,17 @@
         }
     }
 
-    /** Passes on as many reports as fit one datagram. */
+    /** Passes on signs of life, and as many reports as fit beside them into one datagram. */
     private byte[] packet(long nowMillis) {
         HostReport own = own(nowMillis);
+        List<HostSign> signs = fleet.signs(MAX_SIGNS, nowMillis);
         List<HostReport> others = fleet.toPassOn(MAX_PASSED_ON, nowMillis);
-        byte[] bytes = socket.encode(new GossipPacket(own, others));
+        byte[] bytes = socket.encode(new GossipPacket(own, others, signs));
         while (bytes.length > GossipSocket.MAX_DATAGRAM_BYTES && !others.isEmpty()) {
-            others = others.subList(0, others.size() / 2);
-            bytes = socket.encode(new GossipPacket(own, others));
+            others = others.subList(0, others.size() - 1);
+            bytes = socket.encode(new GossipPacket(own, others, signs));
         }
+        fleet.passedOn(others);
         return bytes;
     }
 
