Gather the store's changes for 300 ms before the next call

Cause: each change woke each host's waiting call. Ruled out for now: a few hosts that watch while the others hear from them. It needs changes between hosts instead of whole states, and a proof that a watcher that falls silent is replaced within the 2 s in which a change must be in force. Before: changesInQuickSuccessionCostFewCalls counts a call for each change. After: at most 35 in 10 s.

--- a/guavathread-core/src/main/java/org/guavathread/core/publish/StoreFollower.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/StoreFollower.java
@@ -19,12 +19,18 @@
     /** Time beyond the waiting time after which a call for changes is given up. */
     public static final long WATCH_SLACK_MILLIS = 1_000;
 
+    /**
+     * Pause after changes before the next call, so that changes in quick succession cost one call. It is a seventh of the
+     * 2 s within which operators expect a change to be in force.
+     */
+    private static final long GATHER_MILLIS = 300;
+
     private static final long FIRST_PAUSE_MILLIS = 50;
     private static final long MAX_PAUSE_MILLIS = 800;
     private static final int MAX_DOUBLINGS = 4;
 
-    /** A host that hears of a newer state lets its own call for changes finish first for this long. */
-    private static final long PEER_PATIENCE_MILLIS = 300;
+    /** A host that hears of a newer state waits this long for its own call for changes, which may be due in a while. */
+    private static final long PEER_PATIENCE_MILLIS = 300 + GATHER_MILLIS;
 
     /** Pause between two questions to other hosts. */
     private static final long PEER_PAUSE_MILLIS = 400;
@@ -83,11 +89,16 @@
     /**
      * Notes an answer of the store.
      *
+     * @param hasChanges whether it told of changes; more may follow soon
+     * @param nowMillis the current time
      * @return true if the store had failed before
      */
-    public boolean answered() {
+    public boolean answered(boolean hasChanges, long nowMillis) {
         calling = false;
         listed = true;
+        if (hasChanges) {
+            pauseUntilMillis = nowMillis + GATHER_MILLIS;
+        }
         boolean back = failures > 0;
         failures = 0;
         return back;
--- a/guavathread-core/src/test/java/org/guavathread/core/publish/PublishedStateTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/publish/PublishedStateTest.java
@@ -130,9 +130,9 @@
         StoreFollower follower = new StoreFollower();
         assertEquals(StoreFollower.Call.LISTING, follower.next(0).orElseThrow());
         assertTrue(follower.next(0).isEmpty(), "one call at a time");
-        follower.answered();
+        follower.answered(false, 5);
         assertEquals(StoreFollower.Call.WATCH, follower.next(10).orElseThrow());
-        follower.answered();
+        follower.answered(false, 15);
         follower.historyGone();
         assertEquals(StoreFollower.Call.LISTING, follower.next(20).orElseThrow());
     }
@@ -153,7 +153,7 @@
             assertTrue(now - begun > lastPause);
             lastPause = now - begun;
         }
-        assertTrue(follower.answered(), "the store is back");
+        assertTrue(follower.answered(false, now), "the store is back");
         assertFalse(follower.isOutage());
     }
 }
--- /dev/null
+++ b/guavathread-core/src/test/java/org/guavathread/core/publish/StoreFollowerTest.java
@@ -0,0 +1,87 @@
+package org.guavathread.core.publish;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.guavathread.core.dispatch.WaitingRank;
+import org.guavathread.core.gossip.HostPhase;
+import org.guavathread.core.gossip.HostReport;
+import org.guavathread.core.id.DataCentreId;
+import org.guavathread.core.id.HostId;
+import org.guavathread.core.publish.StoreFollower.Call;
+import org.guavathread.core.sheet.SocketAddressText;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against calls for each of many changes, and against a host that stays behind the store for long. */
+class StoreFollowerTest {
+
+    /** Time within which operators expect a change to be in force on all hosts. */
+    private static final long IN_FORCE_MILLIS = 2_000;
+
+    private static StoreFollower listed() {
+        StoreFollower follower = new StoreFollower();
+        assertEquals(Optional.of(Call.LISTING), follower.next(0));
+        follower.answered(false, 5);
+        return follower;
+    }
+
+    /** The start of 98 engines within seconds cost each of 63 hosts a call for each engine. */
+    @Test
+    void changesInQuickSuccessionCostFewCalls() {
+        StoreFollower follower = listed();
+        int calls = 0;
+        for (long now = 10; now < 10_010; now += 10) {
+            // A change waits at the store whenever the host asks.
+            if (follower.next(now).isPresent()) {
+                calls++;
+                follower.answered(true, now + 4);
+            }
+        }
+        assertTrue(calls <= 35, calls + " calls in 10 s");
+    }
+
+    @Test
+    void aSingleChangeIsFollowedByACallWellWithinTheTimeForTheNextOne() {
+        StoreFollower follower = listed();
+        assertEquals(Optional.of(Call.WATCH), follower.next(10));
+        follower.answered(true, 1_000);
+        assertEquals(Optional.empty(), follower.next(1_100));
+        assertEquals(Optional.of(Call.WATCH), follower.next(1_000 + IN_FORCE_MILLIS / 4));
+    }
+
+    @Test
+    void anAnswerWithoutChangesIsFollowedByTheNextCallAtOnce() {
+        StoreFollower follower = listed();
+        assertEquals(Optional.of(Call.WATCH), follower.next(10));
+        follower.answered(false, 4_010);
+        assertEquals(Optional.of(Call.WATCH), follower.next(4_010));
+    }
+
+    @Test
+    void aHostThatIsBehindAsksAnotherWithinTheTimeForChanges() {
+        StoreFollower follower = listed();
+        assertEquals(Optional.of(Call.WATCH), follower.next(10));
+        SocketAddressText address = new SocketAddressText("127.0.0.1", 1);
+        HostReport ahead = new HostReport(
+                new HostId("h2"),
+                1,
+                1,
+                new DataCentreId("talca"),
+                address,
+                address,
+                HostPhase.READY,
+                9,
+                List.of(),
+                1,
+                0,
+                WaitingRank.NONE,
+                List.of(),
+                List.of());
+        assertEquals(Optional.empty(), follower.nextPeer(Optional.of(ahead), 100), "its own call may bring the change");
+        assertTrue(
+                follower.nextPeer(Optional.of(ahead), 100 + IN_FORCE_MILLIS / 2).isPresent());
+    }
+}
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateKeeper.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateKeeper.java
@@ -72,7 +72,7 @@
             return;
         }
         long now = parts.loop().nowMillis();
-        answered(now);
+        answered(false, now);
         changed(parts.state().applyListing(reply.items(), reply.at(), now), "store listing");
         step();
     }
@@ -83,7 +83,7 @@
             return;
         }
         long now = parts.loop().nowMillis();
-        answered(now);
+        answered(!reply.items().isEmpty(), now);
         if (reply.historyGone()) {
             follower.historyGone();
             parts.log()
@@ -96,8 +96,8 @@
         step();
     }
 
-    private void answered(long nowMillis) {
-        if (follower.answered()) {
+    private void answered(boolean hasChanges, long nowMillis) {
+        if (follower.answered(hasChanges, nowMillis)) {
             parts.state().registry().sourceBack(nowMillis);
             parts.log()
                     .entry("dependency")
