--- a/guavathread-cli/src/main/java/org/guavathread/cli/Terminal.java
+++ b/guavathread-cli/src/main/java/org/guavathread/cli/Terminal.java
@@ -84,6 +84,10 @@
         return new Terminal(in, out, err, value, false);
     }
 
+    public InputStream in() {
+        return in;
+    }
+
     public PrintStream out() {
         return out;
     }
