Count the age of a report apart from its host's signs of life, and keep datagrams within their size

Cause: a sign of life made an old report fresh, so late requests left the room to requests that another host had reported seconds ago; 48 signs beside a large report exceeded 1,400 bytes. Before: waitingRequestsOfOthersAreForgottenSoonAfterTheirReport failed. After: it passes.

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/WaitingLine.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/WaitingLine.java
@@ -13,8 +13,7 @@
  * Requests of one host that wait for room on an engine, in a burst beyond what the engines' memory holds. Those that can
  * still be on time go before the others, since a late answer is worth little to its caller. Among those, requests of
  * workspaces that use at most an equal part go first, so that a workspace in a burst waits for itself; then the longest
- * waiting request.
- * A request that would wait longer than its caller listens is not taken.
+ * waiting request. A request that would wait longer than its caller listens is not taken.
  *
  * @param <T> type of the waiting requests
  */
--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
@@ -57,6 +57,7 @@
     /** The latest report of a host, its latest sign of life, and how often each was passed on. */
     private static final class Known {
         private HostReport report;
+        private long reportedAtMillis;
         private long sequence;
         private long heardAtMillis;
         private int passes;
@@ -65,6 +66,7 @@
         private Known(HostReport report, long heardAtMillis) {
             this.report = report;
             this.sequence = report.sequence();
+            this.reportedAtMillis = heardAtMillis;
             this.heardAtMillis = heardAtMillis;
         }
 
@@ -72,6 +74,7 @@
         private void replace(HostReport later, long nowMillis) {
             boolean isLatest = later.sequence() > sequence;
             report = isLatest ? later : later.withPhase(report.phase());
+            reportedAtMillis = nowMillis;
             passes = 0;
             if (isLatest) {
                 alive(later.sequence(), nowMillis);
@@ -383,7 +386,7 @@
      */
     public WaitingRank bestWaitingElsewhere(long nowMillis) {
         return known.values().stream()
-                .filter(k -> nowMillis - k.heardAtMillis() <= FRESH_MILLIS)
+                .filter(k -> nowMillis - k.reportedAtMillis <= FRESH_MILLIS)
                 .map(k -> k.report().best())
                 .min(Comparator.naturalOrder())
                 .orElse(WaitingRank.NONE);
--- a/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
@@ -236,7 +236,8 @@
         view.hear(fleet.report(address(2), 100), 100);
         assertEquals(WaitingRank.ON_TIME, view.bestWaitingElsewhere(300));
         // The host may be gone, and its requests with it.
-        assertEquals(WaitingRank.NONE, view.bestWaitingElsewhere(700));
+        view.hear(new HostSign(process(0), 50, HostPhase.READY), OTHER, 650);
+        assertEquals(WaitingRank.NONE, view.bestWaitingElsewhere(700), "a sign of life tells nothing of requests");
         fleet.best = WaitingRank.NONE;
         view.hear(fleet.report(address(2), 200), 200);
         assertEquals(WaitingRank.NONE, view.bestWaitingElsewhere(300));
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/Reporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/Reporter.java
@@ -242,6 +242,10 @@
             bytes = socket.encode(new GossipPacket(own, others, signs));
         }
         fleet.passedOn(others);
+        while (bytes.length > GossipSocket.MAX_DATAGRAM_BYTES && !signs.isEmpty()) {
+            signs = signs.subList(0, signs.size() / 2);
+            bytes = socket.encode(new GossipPacket(own, others, signs));
+        }
         return bytes;
     }
 
