Open a new connection for a question asked while a silent one is being closed

Cause: PeerConnection failed its questions before it counted as closed. A caller that asked again at once got the same connection, whose close then failed the second question ("the connection was closed"). Ruled out: the load itself; the new test asks from within the failure and failed each time before, without load. The gateway does not use these connections.

--- a/guavathread-router/src/main/java/org/guavathread/router/peer/PeerConnection.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/peer/PeerConnection.java
@@ -26,6 +26,7 @@
     private final AtomicLong nextCorrelation = new AtomicLong(1);
     private final Map<Long, Pending> pendingByCorrelation = new ConcurrentHashMap<>();
     private final SocketAddressText address;
+    private volatile boolean closing;
     private volatile long unansweredSinceMillis = NOTHING_DUE;
 
     PeerConnection(Connection<?> connection, HostId peer, SocketAddressText address) {
@@ -44,7 +45,7 @@
     }
 
     boolean isOpen() {
-        return connection.isOpen();
+        return !closing && connection.isOpen();
     }
 
     void send(PeerMessage message) {
@@ -92,6 +93,8 @@
     }
 
     void close(String reason) {
+        // Whoever learns of the failure may ask again at once, and must get another connection.
+        closing = true;
         // The close listener would give a less telling reason.
         failAll(reason);
         connection.closeSilently();
--- a/guavathread-router/src/test/java/org/guavathread/router/peer/PeerNetworkTest.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/peer/PeerNetworkTest.java
@@ -100,6 +100,20 @@
         assertEquals(new Echo("again"), a.ask(B, new Echo("again"), soon(5_000)).join());
     }
 
+    /** Guards against a question that is put to a connection which is being closed because it went silent. */
+    @Test
+    void questionAskedAsASilentConnectionFailsGoesOverANewOne() {
+        answering = false;
+        PeerMessage answer = a.ask(B, new Echo("lost"), soon(10_000))
+                .handle((lost, failure) -> {
+                    answering = true;
+                    return a.ask(B, new Echo("again"), soon(5_000));
+                })
+                .thenCompose(again -> again)
+                .join();
+        assertEquals(new Echo("again"), answer);
+    }
+
     /** Guards against questions whose deadlines are shorter than the silence limit, which hid a silent connection. */
     @Test
     void silenceIsNoticedAlsoWithShortDeadlines() {
