Decode the parts of a prompt and name them in the log lines of broken streams

Cause of the change: the logs could not distinguish whether counts of crashes never add up or arrive too late, since no line names what the requests share.

CallerRequest.promptParts holds the decoded parts; result lines of broken streams have the field parts. No decision uses them yet.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
+import org.guavathread.core.dispatch.PromptPart;
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.request.Refusal;
@@ -183,6 +185,11 @@
         return context.log().entry(event).id(request().attemptId());
     }
 
+    /** Returns the ids of the request's prompt parts, for the log. */
+    String promptPartIds() {
+        return request().promptParts().stream().map(PromptPart::id).collect(Collectors.joining(","));
+    }
+
     void refuseFull(String message) {
         refuse(Refusal.notRun(RefusalCode.NO_ROOM, message).retryAfter(retryDelayMillis()));
     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineRun.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineRun.java
@@ -192,6 +192,7 @@
                 .with("meaning", "BROKEN")
                 .with("failure", reason)
                 .with("events", framer.events())
+                .with("parts", call.promptPartIds())
                 .write();
         call.context.metrics().sent("run", "BROKEN");
         if (isUnresponsive) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/CallerRequest.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/CallerRequest.java
@@ -1,9 +1,11 @@
 package org.guavathread.gateway.protocol;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
 import org.guavathread.core.dispatch.EngineWork;
+import org.guavathread.core.dispatch.PromptPart;
 
 /**
  * A decoded caller's request.
@@ -18,6 +20,7 @@
  * @param deadlineMillis when the caller stops waiting; {@link Long#MAX_VALUE} if it sent no deadline
  * @param apiKey the API key that the caller sent
  * @param work size of a language request
+ * @param promptParts parts of its prompt in their order; empty if the caller does not state them
  * @param lastEventId id of the last event that the caller received of an interrupted answer
  */
 @SuppressWarnings("ArrayRecordComponent")
@@ -32,4 +35,5 @@
         long deadlineMillis,
         Optional<String> apiKey,
         Optional<EngineWork> work,
+        List<PromptPart> promptParts,
         Optional<String> lastEventId) {}
