Blame the trait that crashes have in common, so that unlike requests are refused too

Cause: crashes were counted by a hash of the whole request, with a count for each host. The class of fault: a failure is attributed to the instance and not to what instances have in common.

Ruled out: late reports (no count exceeded two on any host); a lower threshold alone, as each request comes once and has a hash of its own.

Change: a crash is evidence against each part of the prompt (except the last one) and the whole request, of every request that had not begun to be answered when the server ended. Servers' processes are counted, not requests or hosts. An answer acquits. The trait with the most crashes is blamed and explains its crashes, so that requests that ran beside it are not refused; of traits with the same crashes the one that fewest requests share is blamed. Crashes of many servers at one moment blame nobody. Hosts merge and pass on the evidence, which only grows; a new crash is reported early. One host tests a blamed trait with one request after 15 s, 30 s, 60 s ..., because refused requests cannot acquit it. Waiting requests are checked again before each send.

--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.guavathread.core.dispatch.CrashTrait;
 import org.guavathread.core.dispatch.WaitingRank;
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.id.DataCentreId;
@@ -27,7 +28,7 @@
  * @param best best rank of the requests in that queue
  * @param load its own load on backend servers
  * @param unreachable backend servers to which it cannot connect
- * @param crashed fingerprints of requests that crashed backend servers, with the number of crashes
+ * @param crashed evidence of requests that crash backend servers, its own and what it learned from other hosts
  */
 public record HostReport(
         HostId host,
@@ -44,7 +45,7 @@
         WaitingRank best,
         List<ServerLoad> load,
         List<BackendServerId> unreachable,
-        List<CrashCount> crashed) {
+        List<CrashEvidence> crashed) {
 
     /** Copies the collections. */
     public HostReport {
@@ -63,12 +64,27 @@
     public record WorkspaceTotal(WorkspaceId workspace, double units) {}
 
     /**
-     * Number of backend server crashes during a request.
+     * Crashes of backend servers while they ran requests with a trait.
      *
-     * @param fingerprint fingerprint of the request
-     * @param crashes number of crashes that the host detected
+     * @param trait the trait
+     * @param crashes the latest crashes
      */
-    public record CrashCount(long fingerprint, int crashes) {}
+    public record CrashEvidence(CrashTrait trait, List<CrashSighting> crashes) {
+
+        /** Copies the list. */
+        public CrashEvidence {
+            crashes = List.copyOf(crashes);
+        }
+    }
+
+    /**
+     * One crash of a backend server.
+     *
+     * @param process hash of the server's id and start time
+     * @param ageMillis time since the crash, in milliseconds
+     * @param isAcquitted whether a request with the same trait was answered after the crash was known
+     */
+    public record CrashSighting(int process, int ageMillis, boolean isAcquitted) {}
 
     /**
      * Load of one host on one backend server.
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -208,6 +208,11 @@
                         query -> new PageServer.Page(
                                 200, "text/plain", context.metrics().text()))));
         context.metrics().gauge("guavathread_requests_in_progress", "Requests without an end.", this::inProgress);
+        context.metrics()
+                .gauge(
+                        "guavathread_crash_suspects",
+                        "Request traits, such as prompt parts, for which requests are refused.",
+                        () -> callOnLoop(() -> context.crashSuspects().blamedCount(), 0));
         context.metrics()
                 .gauge(
                         "guavathread_unreadable_items",
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/AdmittedRequest.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/AdmittedRequest.java
@@ -1,7 +1,9 @@
 package org.guavathread.gateway.call;
 
+import java.util.List;
 import java.util.Optional;
 
+import org.guavathread.core.dispatch.CrashTrait;
 import org.guavathread.core.routing.RouteRule;
 import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.routing.WorkspaceTerms;
@@ -17,7 +19,8 @@
  * @param service the service that serves it
  * @param workspace the workspace that is charged for the request; empty on open routes
  * @param charge units taken from the workspace's rate limit
- * @param fingerprint hash of the request's content; equal for identical requests
+ * @param crashTraits features that it shares with other requests that may crash backend servers
+ * @param isCrashTest whether it runs to find out if a blamed trait still crashes servers
  * @param deadlineMillis latest time at which the caller gets an answer
  */
 record AdmittedRequest(
@@ -27,5 +30,6 @@
         ServiceName service,
         Optional<WorkspaceTerms> workspace,
         double charge,
-        long fingerprint,
+        List<CrashTrait> crashTraits,
+        boolean isCrashTest,
         long deadlineMillis) {}
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import org.guavathread.core.dispatch.CrashTrait;
 import org.guavathread.core.dispatch.PromptPart;
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.registry.Worker;
@@ -177,6 +178,32 @@
         }
     }
 
+    /** Records that a server ended while it ran the request, before it answered. */
+    void recordCrash(Worker worker) {
+        context.crashSuspects().recordCrash(admitted.crashTraits(), worker, now());
+    }
+
+    /** Records that a server has begun to answer the request, so that the request does not crash servers. */
+    void recordAnswered() {
+        context.crashSuspects().recordAnswer(admitted.crashTraits(), now());
+    }
+
+    /** Returns whether servers crash because of the request, by what is known now. */
+    boolean isCrashSuspect() {
+        return context.crashSuspects().blamedOf(admitted.crashTraits()).isPresent();
+    }
+
+    /** Refuses the request if it has become a suspect since it was admitted. */
+    boolean refusedAsCrashSuspect() {
+        Optional<CrashTrait> blamed = context.crashSuspects().blamedOf(admitted.crashTraits());
+        if (blamed.isEmpty() || admitted.isCrashTest() && !hasRun()) {
+            return false;
+        }
+        long testInMillis = context.crashSuspects().nextTestMillis(admitted.crashTraits()) - now();
+        refuse(Refusals.crashSuspect(request(), blamed.get(), testInMillis));
+        return true;
+    }
+
     boolean mayRetryUnsent() {
         return ++unsentAttempts < MAX_UNSENT_ATTEMPTS;
     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineRun.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineRun.java
@@ -14,6 +14,9 @@
     /** Maximum size of an answer that is no stream, such as an error; larger ones are no answer of an engine. */
     private static final int MAX_NON_STREAM_BYTES = 256 * 1024;
 
+    /** Events that an engine may still send when a request makes it crash. */
+    private static final int MAX_EVENTS_OF_SUSPECT = 1;
+
     private final StreamCall call;
     private final Worker worker;
     private final EventFramer framer = new EventFramer();
@@ -21,6 +24,7 @@
     private HttpHead head;
     private AnswerMeaning meaning;
     private boolean finished;
+    private boolean hasAcquitted;
 
     EngineRun(StreamCall call, Worker worker) {
         this.call = call;
@@ -57,6 +61,10 @@
         int contentBefore = framer.contentLines();
         byte[] completeEvents = framer.accept(bytes);
         framer.lastEventId().ifPresent(call::lastEvent);
+        if (framer.events() > MAX_EVENTS_OF_SUSPECT && !hasAcquitted) {
+            hasAcquitted = true;
+            call.recordAnswered();
+        }
         if (completeEvents.length > 0) {
             call.forward(this, head, completeEvents, framer.contentLines() > contentBefore);
         }
@@ -84,7 +92,7 @@
             nonStreamAnswered();
             return;
         }
-        call.context.crashSuspects().recordAnswer(call.admitted.fingerprint());
+        call.recordAnswered();
         call.context.health().succeeded(worker.id(), call.now());
         call.context.metrics().sent("run", meaning.name());
         byte[] remainder = framer.takePartial();
@@ -146,8 +154,8 @@
             return;
         }
         boolean connectionLost = BackendClient.isConnectionLost(failure);
-        if (connectionLost) {
-            call.context.crashSuspects().recordCrash(call.admitted.fingerprint(), call.now());
+        if (connectionLost && framer.events() <= MAX_EVENTS_OF_SUSPECT) {
+            call.recordCrash(worker);
         }
         failed(failure.getMessage(), !connectionLost);
     }
@@ -200,8 +208,7 @@
         } else {
             call.context.health().failed(worker.id(), call.now());
         }
-        boolean suspect = call.context.crashSuspects().isRefused(call.admitted.fingerprint(), call.now());
-        if (call.mayRunOnceMore() && !suspect && call.takeRetry()) {
+        if (call.mayRunOnceMore() && !call.isCrashSuspect() && call.takeRetry()) {
             call.place();
         } else {
             call.giveUp("The engine broke off: " + reason);
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
@@ -40,6 +40,9 @@
     }
 
     private void send() {
+        if (refusedAsCrashSuspect()) {
+            return;
+        }
         Optional<Worker> chosen = context.plainDispatch().choose(servers(), tried, now());
         if (chosen.isEmpty()) {
             refuseFull(
@@ -107,7 +110,7 @@
             retryBroken("The backend server's answer was not this request's.");
             return;
         }
-        context.crashSuspects().recordAnswer(admitted.fingerprint());
+        recordAnswered();
         boolean failure = answer.status() >= 500;
         if (failure) {
             context.health().failed(worker.id(), now());
@@ -146,7 +149,7 @@
         countRun();
         if (BackendClient.isConnectionLost(failure)) {
             context.health().failed(worker.id(), now());
-            context.crashSuspects().recordCrash(admitted.fingerprint(), now());
+            recordCrash(worker);
         } else {
             context.health().unreachable(worker.id(), now());
         }
@@ -162,8 +165,7 @@
     }
 
     private void retryBroken(String message) {
-        boolean suspect = context.crashSuspects().isRefused(admitted.fingerprint(), now());
-        if (admitted.rule().mayRunAgain() && mayRunAgain() && !suspect && hasUntriedServer() && takeRetry()) {
+        if (admitted.rule().mayRunAgain() && mayRunAgain() && !isCrashSuspect() && hasUntriedServer() && takeRetry()) {
             send();
         } else {
             refuse(Refusal.unknown(RefusalCode.BACKEND_FAILED, message));
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
@@ -1,13 +1,16 @@
 package org.guavathread.gateway.call;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
+import org.guavathread.core.dispatch.CrashTrait;
 import org.guavathread.core.dispatch.EngineWork;
 import org.guavathread.core.dispatch.WaitingRank;
 import org.guavathread.core.request.Refusal;
@@ -35,9 +38,6 @@
     /** Retry-After of a request that this host has no time to look at. */
     private static final long OVERLOADED_RETRY_AFTER_MILLIS = 1_000;
 
-    /** Retry-After of a request that is suspected of crashing backend servers. */
-    private static final long CRASH_RETRY_AFTER_MILLIS = 5_000;
-
     /** Exchange of engine load and waiting requests between hosts. */
     public interface FleetLoad {
 
@@ -57,6 +57,14 @@
          * @return true if a refused caller can go to another host
          */
         boolean othersServe();
+
+        /**
+         * Returns whether this host alone may act for a key. Hosts that do not reach each other may disagree.
+         *
+         * @param key the key
+         * @return true if the key is assigned to this host among the ready reachable ones
+         */
+        boolean decidesFor(String key);
     }
 
     private final GatewayContext context;
@@ -174,11 +182,15 @@
             RoutingTable table) {
         long now = context.loop().nowMillis();
         ServiceName service = rule.pick(context.random().nextDouble());
-        long fingerprint = fingerprint(request, workspace);
-        if (context.crashSuspects().isRefused(fingerprint, now)) {
-            Refusal refusal =
-                    Refusal.notRun(RefusalCode.CRASH_SUSPECT, "Backend servers crashed while they ran this request.");
-            refuse(exchange, request.attemptId(), refusal.retryAfter(CRASH_RETRY_AFTER_MILLIS));
+        List<CrashTrait> crashTraits = crashTraits(request, workspace);
+        Optional<CrashTrait> blamed = context.crashSuspects().blamedOf(crashTraits);
+        boolean isCrashTest = blamed.isPresent()
+                && load.decidesFor(Long.toHexString(blamed.get().hash()))
+                && context.crashSuspects().startTest(crashTraits, now);
+        if (blamed.isPresent() && !isCrashTest) {
+            Refusal refusal = Refusals.crashSuspect(
+                    request, blamed.get(), context.crashSuspects().nextTestMillis(crashTraits) - now);
+            refuse(exchange, request.attemptId(), refusal);
             return;
         }
         long deadlineMillis = Math.min(request.deadlineMillis(), exchange.arrivedAtMillis() + rule.timeoutMillis());
@@ -200,8 +212,8 @@
         }
         workspace.ifPresent(w -> context.shares().recordUsage(w.id(), charge, now));
         context.retries().requestArrived(service, now);
-        AdmittedRequest admitted =
-                new AdmittedRequest(exchange, request, rule, service, workspace, charge, fingerprint, deadlineMillis);
+        AdmittedRequest admitted = new AdmittedRequest(
+                exchange, request, rule, service, workspace, charge, crashTraits, isCrashTest, deadlineMillis);
         context.log()
                 .entry("admit")
                 .id(request.attemptId())
@@ -212,6 +224,7 @@
                 .with("version", table.version())
                 .with("revision", context.state().revision())
                 .with("deadlineInMillis", deadlineMillis - now)
+                .with("crashTest", isCrashTest)
                 .write();
         start(admitted, table);
     }
@@ -286,6 +299,17 @@
         Refusals.write(exchange, refusal, context.callerProtocol().headersOf(refusal));
     }
 
+    /** Returns the parts of the prompt, except the last one, which is the request's own, and the whole request. */
+    private static List<CrashTrait> crashTraits(CallerRequest request, Optional<WorkspaceTerms> workspace) {
+        List<CrashTrait> traits = new ArrayList<>();
+        for (int i = 0; i < request.promptParts().size() - 1; i++) {
+            String id = request.promptParts().get(i).id();
+            traits.add(CrashTrait.ofPromptPart(Hashing.komihash5_0().hashCharsToLong(id), i));
+        }
+        traits.add(CrashTrait.ofRequest(fingerprint(request, workspace)));
+        return List.copyOf(traits);
+    }
+
     /** Hashes method, path, query, workspace and body; equal for identical requests. */
     private static long fingerprint(CallerRequest request, Optional<WorkspaceTerms> workspace) {
         HashStream64 hash = Hashing.komihash5_0().hashStream();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -136,6 +136,9 @@
     }
 
     void place() {
+        if (out == null && refusedAsCrashSuspect()) {
+            return;
+        }
         if (out == null && !hasRun() && !canEndBeforeThisHost()) {
             refuse(drainRefusal.get());
             return;
@@ -325,7 +328,7 @@
                 .with("failure", failure.getMessage())
                 .write();
         if (BackendClient.isConnectionLost(failure)) {
-            context.crashSuspects().recordCrash(admitted.fingerprint(), now());
+            recordCrash(prefill);
         }
         recordLost(prefill, failure);
         if (rejected && !takeRetry()) {
@@ -352,6 +355,9 @@
             placeAgain(worker);
             return;
         }
+        if (out == null && refusedAsCrashSuspect()) {
+            return;
+        }
         tried.add(worker.id());
         sends++;
         // A resumed stream needs a prefill of the prompt and of the tokens generated so far, which the engine runs
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
@@ -8,6 +8,7 @@
 import org.guavathread.core.gossip.HostHeartbeat;
 import org.guavathread.core.gossip.HostPhase;
 import org.guavathread.core.gossip.HostReport;
+import org.guavathread.core.hash.RendezvousHash;
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.sheet.SocketAddressText;
@@ -61,6 +62,7 @@
     private HostPhase phase = HostPhase.STARTING;
     private long sequence;
     private int reachableHosts = -1;
+    private int blamedTraits;
     private long sentAtMillis;
     private long summedAtMillis;
     private boolean reportScheduled;
@@ -111,6 +113,7 @@
      */
     public void start(RequestRouter requests) {
         router = requests;
+        context.crashSuspects().onNews(this::reportEarly);
         sendPeriodically();
     }
 
@@ -132,11 +135,17 @@
     /** Reports a load change before the next periodic report if requests are waiting at any host. */
     @Override
     public void loadChanged() {
-        long now = context.loop().nowMillis();
-        if (reportScheduled || router.waiting() == 0 && !fleet.othersWait(now)) {
+        if (router.waiting() > 0 || fleet.othersWait(context.loop().nowMillis())) {
+            reportEarly();
+        }
+    }
+
+    private void reportEarly() {
+        if (reportScheduled) {
             return;
         }
         reportScheduled = true;
+        long now = context.loop().nowMillis();
         long earliestMillis = sentAtMillis + fleet.reportIntervalMillis(MIN_REPORT_INTERVAL_MILLIS);
         context.loop().schedule(Math.max(now, earliestMillis), () -> {
             reportScheduled = false;
@@ -155,6 +164,17 @@
                 .isEmpty();
     }
 
+    @Override
+    public boolean decidesFor(String key) {
+        long now = context.loop().nowMillis();
+        return fleet.reachableHosts(now).stream()
+                .filter(r -> r.phase().takesCallers())
+                .map(r -> r.host())
+                .allMatch(other -> RendezvousHash.rank(key, List.of(identity.host(), other), HostId::value)
+                        .get(0)
+                        .equals(identity.host()));
+    }
+
     /**
      * Applies a packet from another host.
      *
@@ -177,7 +197,7 @@
                     context.limits().applyTotal(report.host(), report.incarnation(), total.workspace(), total.units());
             context.shares().recordUsage(total.workspace(), newUnits, now);
         });
-        context.crashSuspects().mergeRemoteCounts(report.host(), report.crashed(), now);
+        context.crashSuspects().merge(report.crashed(), now);
         if (now - summedAtMillis >= LOAD_SUM_INTERVAL_MILLIS) {
             sumReports(now);
         }
@@ -198,6 +218,7 @@
         context.retries().setHostCount(fleet.size());
         sumReports(now);
         logReachableHosts(fleet.reachableHosts(now).size());
+        logBlamedTraits(context.crashSuspects().blamedCount());
         byte[] bytes = encodePacket(now);
         fleet.receivers(identity.peers()).forEach(to -> socket.send(to, bytes));
         fleet.nextSyncSource(now).ifPresent(this::requestReports);
@@ -247,6 +268,17 @@
         }
     }
 
+    private void logBlamedTraits(int blamed) {
+        if (blamed != blamedTraits) {
+            context.log()
+                    .entry("suspects")
+                    .with("blamed", blamed)
+                    .with("before", blamedTraits)
+                    .write();
+            blamedTraits = blamed;
+        }
+    }
+
     /** Encodes this host's report, heartbeats, and as many other reports as fit into one datagram. */
     private byte[] encodePacket(long nowMillis) {
         HostReport own = ownReport(nowMillis);
@@ -285,6 +317,6 @@
                 context.loads().localLoads(),
                 context.health()
                         .serversNotConnected(context.state().registry().ids().size(), nowMillis),
-                context.crashSuspects().localCounts(nowMillis));
+                context.crashSuspects().report(nowMillis));
     }
 }
