Decode and log the request limits that servers state

Cause of the change: servers in need state in their answers how many requests a second they take from all hosts; nothing read it, and no log showed when which host learned which limit.

BackendProtocol.statedLimitOf decodes the header; ServerLimits keeps the last statement of each server. Answers to runs and prefills count; a refusal can state a limit but not end one. limit lines and the gauge guavathread_limited_servers show it. No decision uses it yet.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import org.guavathread.core.dispatch.PlainDispatch;
 import org.guavathread.core.dispatch.RolePlan;
 import org.guavathread.core.dispatch.ServerHealth;
+import org.guavathread.core.dispatch.ServerLimits;
 import org.guavathread.core.dispatch.ServerLoads;
 import org.guavathread.core.gossip.FleetView;
 import org.guavathread.core.gossip.GossipPacket;
@@ -170,6 +171,7 @@
                 new SharedRetryBudget(settings.retryRatio(), settings.retryExtra(), settings.retryWindowMillis()),
                 loads,
                 health,
+                new ServerLimits(),
                 new PlainDispatch(settings.dataCentre(), loads, health, random.split()),
                 new EngineDispatch(loads, health, random.split()),
                 new AnswerDurationEstimator(),
@@ -213,6 +215,11 @@
                         "guavathread_crash_suspects",
                         "Request traits, such as prompt parts, for which requests are refused.",
                         () -> callOnLoop(() -> context.crashSuspects().blamedCount(), 0));
+        context.metrics()
+                .gauge(
+                        "guavathread_limited_servers",
+                        "Backend servers that state a limit on their requests.",
+                        () -> callOnLoop(() -> context.serverLimits().size(), 0));
         context.metrics()
                 .gauge(
                         "guavathread_unreadable_items",
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -17,12 +18,14 @@
 import org.guavathread.core.routing.WorkspaceTerms;
 import org.guavathread.gateway.log.DecisionLog;
 import org.guavathread.gateway.loop.EventLoop;
+import org.guavathread.gateway.protocol.AnswerMeaning;
 import org.guavathread.gateway.protocol.CallerRequest;
 import org.guavathread.gateway.protocol.EngineReservation;
 import org.guavathread.gateway.protocol.PrefillResult;
 import org.guavathread.gateway.protocol.SendOptions;
 import org.guavathread.router.caller.CallerExchange;
 import org.guavathread.router.http.HttpCall;
+import org.guavathread.router.http.HttpHead;
 
 /** One admitted request until its end: its deadline, its sends to backend servers and its single answer. */
 abstract class Call {
@@ -178,6 +181,18 @@
         }
     }
 
+    /** Records the limit that a server states in an answer; only the answer to work that was done can end a limit. */
+    void recordLimit(Worker worker, HttpHead head, AnswerMeaning meaning) {
+        OptionalDouble perSecond = context.backendProtocol().statedLimitOf(head);
+        boolean isStatement = meaning == AnswerMeaning.RAN || meaning == AnswerMeaning.FULL && perSecond.isPresent();
+        if (isStatement && context.serverLimits().state(worker.id(), perSecond)) {
+            log("limit")
+                    .with("server", worker.id())
+                    .with("perSecond", perSecond.isPresent() ? perSecond.getAsDouble() : "none")
+                    .write();
+        }
+    }
+
     /** Records that a server ended while it ran the request, before it answered. */
     void recordCrash(Worker worker) {
         context.crashSuspects().recordCrash(admitted.crashTraits(), worker, now());
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineRun.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineRun.java
@@ -38,6 +38,7 @@
         }
         head = received;
         meaning = call.context.backendProtocol().meaningOf(call.request(), received);
+        call.recordLimit(worker, received, meaning);
         if (!meaning.isNotRun()) {
             call.countRun();
         }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/GatewayContext.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/GatewayContext.java
@@ -8,6 +8,7 @@
 import org.guavathread.core.dispatch.EngineDispatch;
 import org.guavathread.core.dispatch.PlainDispatch;
 import org.guavathread.core.dispatch.ServerHealth;
+import org.guavathread.core.dispatch.ServerLimits;
 import org.guavathread.core.dispatch.ServerLoads;
 import org.guavathread.core.publish.PublishedState;
 import org.guavathread.core.share.FairShareTracker;
@@ -30,6 +31,7 @@
  * @param retries retry budget
  * @param loads current load of the backend servers
  * @param health health of the backend servers, from the outcomes of earlier requests
+ * @param serverLimits request rates that backend servers state
  * @param plainDispatch selects servers for plain requests
  * @param engineDispatch selects engines for language requests
  * @param answerPace measured generation time of answers
@@ -50,6 +52,7 @@
         SharedRetryBudget retries,
         ServerLoads loads,
         ServerHealth health,
+        ServerLimits serverLimits,
         PlainDispatch plainDispatch,
         EngineDispatch engineDispatch,
         AnswerDurationEstimator answerPace,
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
@@ -89,6 +89,7 @@
         clearBackendCall();
         release();
         AnswerMeaning meaning = context.backendProtocol().meaningOf(request(), answer.head());
+        recordLimit(worker, answer.head(), meaning);
         log("result")
                 .with("server", worker.id())
                 .with("meaning", meaning)
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -16,6 +16,7 @@
 import org.guavathread.core.routing.WorkspaceTerms;
 import org.guavathread.core.stream.StreamProgress;
 import org.guavathread.gateway.loop.EventLoop;
+import org.guavathread.gateway.protocol.AnswerMeaning;
 import org.guavathread.gateway.protocol.EngineReservation;
 import org.guavathread.gateway.protocol.PrefillResult;
 import org.guavathread.router.caller.CallerExchange;
@@ -295,15 +296,16 @@
     private void prefillAnswered(Worker prefill, EnginePlan plan, HttpResponse answer) {
         Optional<PrefillResult> prompt = context.backendProtocol().prefillResultOf(prefill, answer, now());
         prompt.ifPresent(resources::keep);
+        AnswerMeaning meaning = prompt.isPresent()
+                ? AnswerMeaning.RAN
+                : context.backendProtocol().meaningOf(request(), answer.head());
+        recordLimit(prefill, answer.head(), meaning);
         if (isEnded()) {
             resources.releaseUnused();
             return;
         }
         if (prompt.isEmpty()) {
-            boolean rejected = context.backendProtocol()
-                    .meaningOf(request(), answer.head())
-                    .isNotRun();
-            prefillFailed(prefill, plan, rejected, new IllegalStateException("status " + answer.status()));
+            prefillFailed(prefill, plan, meaning.isNotRun(), new IllegalStateException("status " + answer.status()));
             return;
         }
         clearBackendCall();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/BackendProtocol.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/BackendProtocol.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.registry.EngineStage;
@@ -117,6 +118,14 @@
      */
     AnswerMeaning meaningOf(CallerRequest request, HttpHead head);
 
+    /**
+     * Returns the request rate that a server in need states in an answer, for all hosts together.
+     *
+     * @param head status and headers of the answer
+     * @return requests a second, or empty if the server states no limit
+     */
+    OptionalDouble statedLimitOf(HttpHead head);
+
     /**
      * Returns the headers of a backend server's answer that are forwarded to the caller.
      *
