--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/CrashSuspects.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/CrashSuspects.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -190,11 +189,11 @@
         Evidence latest = known == null ? new Evidence(trait) : known;
         evidence.put(trait.hash(), latest);
         if (evidence.size() > MAX_TRAITS) {
-            Iterator<Evidence> oldest = evidence.values().iterator();
-            while (blamed.containsKey(oldest.next().trait.hash())) {
-                // Blamed traits are few, and forgetting one would cost servers.
-            }
-            oldest.remove();
+            // Blamed traits are kept, since forgetting one would cost servers.
+            evidence.keySet().stream()
+                    .filter(hash -> !blamed.containsKey(hash))
+                    .findFirst()
+                    .ifPresent(evidence::remove);
         }
         return latest;
     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -242,14 +242,17 @@
     }
 
     private PageServer.Page permitPage(PageServer.Query query) {
-        String perSecond = query.parameter(PermitRelay.PER_SECOND);
-        if (query.parameter(PermitRelay.SERVER).isEmpty() || !perSecond.matches("[0-9.]{1,20}")) {
+        BackendServerId server;
+        double perSecond;
+        try {
+            server = new BackendServerId(query.parameter(PermitRelay.SERVER));
+            perSecond = Double.parseDouble(query.parameter(PermitRelay.PER_SECOND));
+        } catch (IllegalArgumentException e) {
+            Logger.warn("A question for a permit cannot be read: {}.", e.getMessage());
             return PageServer.Page.empty(400);
         }
-        BackendServerId server = new BackendServerId(query.parameter(PermitRelay.SERVER));
         return page(() -> new PermitRelay()
-                .encode(new PermitRelay.Grant(
-                        context.serverLimits().grant(server, Double.parseDouble(perSecond), clock.nowMillis()))));
+                .encode(new PermitRelay.Grant(context.serverLimits().grant(server, perSecond, clock.nowMillis()))));
     }
 
     private PageServer.Page page(Supplier<byte[]> content) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineResources.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineResources.java
@@ -107,7 +107,7 @@
         prefillResult = Optional.empty();
     }
 
-    private void releaseReservation() {
+    void releaseReservation() {
         reservation
                 .filter(r -> now() < r.expiresAtMillis())
                 .ifPresent(r -> context.client()
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -290,7 +290,7 @@
 
     /** Plans the request anew, since the limit of the generating engine is used up. */
     private void placeElsewhere() {
-        resources.releaseUnused();
+        resources.releaseReservation();
         resources.removeLoad();
         place();
     }
