Report at most 20 crashes, so that a report of a host in trouble fits into a datagram

What would happen: while engines crash, a host's own report could exceed 1,400 bytes; a fragmented datagram is lost with any of its fragments, and just then the other hosts need the report.

Cause: the bound of 40 crashes was computed for crashes of few traits; single crashes of many traits need about 25 bytes each. GossipReportSizeTest failed before: 1,424 bytes for a host with loads on 13 engines and 500 crashes seen. CrashingPartLoadTest holds with 20 as with 40.

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/CrashSuspects.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/CrashSuspects.java
@@ -50,8 +50,8 @@
     /** Maximum number of crashes that are kept for one trait. */
     private static final int MAX_CRASHES = 64;
 
-    /** Maximum number of crashes in one report: at about 15 bytes each, less than half of a datagram. */
-    private static final int MAX_REPORTED_CRASHES = 40;
+    /** Maximum number of crashes in one report: at about 25 bytes each, a third of a datagram. */
+    private static final int MAX_REPORTED_CRASHES = 20;
 
     /** Maximum number of crashes of one trait in a report. */
     private static final int MAX_REPORTED_CRASHES_OF_TRAIT = 12;
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/CrashSuspectsTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/CrashSuspectsTest.java
@@ -170,7 +170,7 @@
         }
         int reported =
                 here.report(6_000).stream().mapToInt(e -> e.crashes().size()).sum();
-        assertTrue(reported <= 40, reported + " crashes in a report");
+        assertTrue(reported <= 20, reported + " crashes in a report");
         assertEquals(Optional.of(CRASHING), here.blamedOf(crashing(1)), "a blamed trait is not forgotten");
     }
 }
