Give a server that states less than one request a second less of the tolerance

The tolerated extra of five requests in 4 s let hosts send four requests in 4.5 s to a server that states 0, which such a server refuses or fails. The extra is now taken in proportion to the limit below one a second; one request a window remains, by which the end of the limit is learned. Limits of one a second and more are not changed. serverThatTakesNothingGetsOneRequestInAWindow failed before with 35 requests in 40 s (at most 10).

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerLimits.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerLimits.java
@@ -211,7 +211,9 @@
      * @return 0 if the request may be sent now, otherwise the milliseconds after which to ask again
      */
     public long grant(BackendServerId server, double perSecond, long nowMillis) {
-        double tolerated = TOLERATED_FACTOR * perSecond * WINDOW_MILLIS / MILLIS_PER_SECOND + TOLERATED_EXTRA;
+        // A server that takes next to nothing gets next to none of the extra either.
+        double extra = TOLERATED_EXTRA * Math.min(1, perSecond);
+        double tolerated = TOLERATED_FACTOR * perSecond * WINDOW_MILLIS / MILLIS_PER_SECOND + extra;
         int size = Math.max(1, (int) ((tolerated - RESERVE) * reachableShare));
         return windows.computeIfAbsent(server, id -> new Window(size, nowMillis))
                 .grant(size, nowMillis);
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/StatedLimitLoadTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/StatedLimitLoadTest.java
@@ -189,6 +189,15 @@
         assertEquals(0, limits.grant(SERVER.id(), 1, 100 + first));
     }
 
+    @Test
+    void serverThatTakesNothingGetsOneRequestInAWindow() {
+        int granted = 0;
+        for (long now = 0; now < END_MILLIS; now += STEP_MILLIS) {
+            granted += limits.grant(SERVER.id(), 0, now) == 0 ? 1 : 0;
+        }
+        assertTrue(granted > 0 && granted <= END_MILLIS / WINDOW_MILLIS, granted + " requests");
+    }
+
     @Test
     void newOwnerAssumesThatTheLimitIsInUse() {
         assertTrue(limits.grant(SERVER.id(), 1, 0) > 0);
