Report the end of a stated limit for ten seconds only

A server that once stated a limit stayed in the reports of every host that got its answers, as each answer without a limit renewed the statement: some 30 bytes in each report for as long as the server served. An answer without a limit is a statement only while a limit is known. endOfALimitIsReportedForAWhileOnly failed before.

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerLimits.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerLimits.java
@@ -126,7 +126,7 @@
      * @return true if the limit has changed for this host
      */
     public boolean state(BackendServerId server, OptionalDouble perSecond, long nowMillis) {
-        if (perSecond.isEmpty() && !latest.containsKey(server)) {
+        if (perSecond.isEmpty() && limitOf(server).isEmpty()) {
             return false;
         }
         Statement statement = new Statement(perSecond, nowMillis);
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/StatedLimitLoadTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/StatedLimitLoadTest.java
@@ -206,6 +206,16 @@
         assertTrue(limits.grant(SERVER.id(), 1, 10_000) > 0);
     }
 
+    @Test
+    void endOfALimitIsReportedForAWhileOnly() {
+        limits.state(SERVER.id(), OptionalDouble.of(1), 0);
+        for (long now = 1_000; now <= 20_000; now += 1_000) {
+            limits.state(SERVER.id(), OptionalDouble.empty(), now);
+        }
+        assertEquals(1, limits.report(5_000).size());
+        assertEquals(List.of(), limits.report(20_000));
+    }
+
     @Test
     void latestStatementHoldsWhoeverReceivedIt() {
         limits.state(SERVER.id(), OptionalDouble.of(1), 1_000);
