Treat stated limits beyond all traffic as none

A server may state any number, for example requests a second; the owner's window would have been filled with as many entries and more, which exhausts the heap of a host. Limits above 8,000 a second, more than all hosts pass on, are none, and the window is bounded also for questions of other hosts. Found by reading; the fault itself was not run, since it fills the heap. limitBeyondAllTrafficCostsNoMemory guards the bound.

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerLimits.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerLimits.java
@@ -46,6 +46,9 @@
     /** Tolerated requests that are not granted, for one that the owner did not hear of. */
     private static final int RESERVE = 1;
 
+    /** Limits above this are none: all hosts together pass on fewer requests a second. */
+    private static final double MAX_LIMIT_PER_SECOND = 8_000;
+
     /** Time for which a statement is reported to other hosts: the spreading of news in a large fleet. */
     private static final long REPORT_MILLIS = 10_000;
 
@@ -126,10 +129,11 @@
      * @return true if the limit has changed for this host
      */
     public boolean state(BackendServerId server, OptionalDouble perSecond, long nowMillis) {
-        if (perSecond.isEmpty() && limitOf(server).isEmpty()) {
+        OptionalDouble binding = bindingLimit(perSecond.orElse(Double.POSITIVE_INFINITY));
+        if (binding.isEmpty() && limitOf(server).isEmpty()) {
             return false;
         }
-        Statement statement = new Statement(perSecond, nowMillis);
+        Statement statement = new Statement(binding, nowMillis);
         own.put(server, statement);
         return apply(server, statement);
     }
@@ -142,12 +146,14 @@
      */
     public void merge(List<StatedLimit> reported, long nowMillis) {
         for (StatedLimit each : reported) {
-            OptionalDouble perSecond =
-                    Double.isInfinite(each.perSecond()) ? OptionalDouble.empty() : OptionalDouble.of(each.perSecond());
-            apply(each.server(), new Statement(perSecond, nowMillis - each.ageMillis()));
+            apply(each.server(), new Statement(bindingLimit(each.perSecond()), nowMillis - each.ageMillis()));
         }
     }
 
+    private static OptionalDouble bindingLimit(double perSecond) {
+        return perSecond <= MAX_LIMIT_PER_SECOND ? OptionalDouble.of(perSecond) : OptionalDouble.empty();
+    }
+
     private boolean apply(BackendServerId server, Statement statement) {
         Statement before = latest.get(server);
         if (before != null && before.atMillis() > statement.atMillis()) {
@@ -211,14 +217,20 @@
      * @return 0 if the request may be sent now, otherwise the milliseconds after which to ask again
      */
     public long grant(BackendServerId server, double perSecond, long nowMillis) {
-        // A server that takes next to nothing gets next to none of the extra either.
-        double extra = TOLERATED_EXTRA * Math.min(1, perSecond);
-        double tolerated = TOLERATED_FACTOR * perSecond * WINDOW_MILLIS / MILLIS_PER_SECOND + extra;
-        int size = Math.max(1, (int) ((tolerated - RESERVE) * reachableShare));
+        int size = windowSize(perSecond, reachableShare);
         return windows.computeIfAbsent(server, id -> new Window(size, nowMillis))
                 .grant(size, nowMillis);
     }
 
+    /** Returns how many requests may be granted within {@link #GRANT_WINDOW_MILLIS}. */
+    static int windowSize(double perSecond, double share) {
+        double bound = Math.min(MAX_LIMIT_PER_SECOND, perSecond);
+        // A server that takes next to nothing gets next to none of the extra either.
+        double extra = TOLERATED_EXTRA * Math.min(1, bound);
+        double tolerated = TOLERATED_FACTOR * bound * WINDOW_MILLIS / MILLIS_PER_SECOND + extra;
+        return Math.max(1, (int) ((tolerated - RESERVE) * share));
+    }
+
     /**
      * Records that the owner of a limit has refused a request.
      *
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/StatedLimitLoadTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/StatedLimitLoadTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -206,6 +207,17 @@
         assertTrue(limits.grant(SERVER.id(), 1, 10_000) > 0);
     }
 
+    @ParameterizedTest
+    @ValueSource(doubles = {999_999_999, Double.POSITIVE_INFINITY})
+    void limitBeyondAllTrafficCostsNoMemory(double perSecond) {
+        assertEquals(1, ServerLimits.windowSize(0, 1));
+        assertTrue(ServerLimits.windowSize(perSecond, 1) <= 50_000);
+        limits.state(SERVER.id(), OptionalDouble.of(perSecond), 0);
+        assertTrue(limits.ownerOf(SERVER.id()).isEmpty());
+        limits.merge(List.of(new StatedLimit(SERVER.id(), perSecond, 0)), 10);
+        assertTrue(limits.ownerOf(SERVER.id()).isEmpty());
+    }
+
     @Test
     void endOfALimitIsReportedForAWhileOnly() {
         limits.state(SERVER.id(), OptionalDouble.of(1), 0);
