Log the store's epoch, and each listing beside what the host has applied

The logs did not tell whether a listing was dropped, nor whether the store had begun another history: nothing decoded Store-Era, and a listing left no line. Each listing and each refused watch now logs the store's epoch and revision beside the revision that the host has applied, and a host logs when it first hears another epoch. The applied revision is a gauge. No decision is changed.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -225,6 +225,11 @@
                         "guavathread_limited_servers",
                         "Backend servers that state a limit on their requests.",
                         () -> callOnLoop(() -> context.serverLimits().size(), 0));
+        context.metrics()
+                .gauge(
+                        "guavathread_store_revision",
+                        "The store's revision that this host has applied.",
+                        () -> callOnLoop(() -> context.state().revision(), 0L));
         context.metrics()
                 .gauge(
                         "guavathread_unreadable_items",
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
@@ -8,6 +8,7 @@
 import org.guavathread.core.publish.StateChange;
 import org.guavathread.core.publish.StateSnapshot;
 import org.guavathread.core.publish.StoreFollower;
+import org.guavathread.core.publish.StorePosition;
 import org.guavathread.gateway.call.GatewayContext;
 import org.guavathread.gateway.protocol.StoreClient;
 import org.guavathread.router.http.HttpResponse;
@@ -25,6 +26,7 @@
     private final Runnable onChange;
     private final StoreFollower follower;
     private final StateRelay relay = new StateRelay();
+    private long seenEpoch;
 
     /**
      * Creates the synchroniser.
@@ -76,7 +78,10 @@
         }
         long now = context.loop().nowMillis();
         storeAnswered(false, now);
-        handleChanges(context.state().applyListing(reply.items(), reply.revision(), now), "store listing");
+        noteEpoch(reply.position());
+        logPosition("listed", reply.position());
+        handleChanges(
+                context.state().applyListing(reply.items(), reply.position().revision(), now), "store listing");
         step();
     }
 
@@ -87,18 +92,35 @@
         }
         long now = context.loop().nowMillis();
         storeAnswered(!reply.items().isEmpty(), now);
+        noteEpoch(reply.position());
         if (reply.historyGone()) {
             follower.historyGone();
-            context.log()
-                    .entry("store")
-                    .with("outcome", "history gone, listing again")
-                    .write();
+            logPosition("history gone, listing again", reply.position());
         } else {
-            handleChanges(context.state().applyEvents(reply.items(), reply.revision(), now), "store watch");
+            handleChanges(
+                    context.state().applyEvents(reply.items(), reply.position().revision(), now), "store watch");
         }
         step();
     }
 
+    private void noteEpoch(StorePosition position) {
+        if (position.epoch() != seenEpoch) {
+            seenEpoch = position.epoch();
+            logPosition("other epoch", position);
+        }
+    }
+
+    /** Logs where the store is, beside where this host is. */
+    private void logPosition(String outcome, StorePosition position) {
+        context.log()
+                .entry("store")
+                .with("outcome", outcome)
+                .with("storeEpoch", position.epoch())
+                .with("storeRevision", position.revision())
+                .with("revision", context.state().revision())
+                .write();
+    }
+
     private void storeAnswered(boolean hasChanges, long nowMillis) {
         if (follower.answered(hasChanges, nowMillis)) {
             context.state().registry().sourceRecovered(nowMillis);
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/StoreClient.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/StoreClient.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.guavathread.core.publish.StoreItem;
+import org.guavathread.core.publish.StorePosition;
 
 /** Client of a platform's configuration store. */
 public interface StoreClient {
@@ -12,10 +13,10 @@
      * The store's answer.
      *
      * @param items the listed items, or the change events
-     * @param revision the store's revision: before the first item of a listing, after the last event
+     * @param position the store's position: before the first item of a listing, after the last event
      * @param historyGone whether the store has compacted the requested history
      */
-    record Reply(List<StoreItem> items, long revision, boolean historyGone) {}
+    record Reply(List<StoreItem> items, StorePosition position, boolean historyGone) {}
 
     /**
      * Lists all items of the store.
