Order the store's states by epoch and revision

Cause: revisions alone ordered all states of the store. A listing of the new history lies below the applied revision and was dropped, so that the next watch was refused with 410 again (838 listings in 4 s); once the store had given out that revision again, the watch went on from it and all changes at or below it were missed. Other hosts' states were compared in the same way.

Servers that are missing in the copy keep the grace period in which live ones register again.

--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
@@ -17,6 +17,7 @@
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
+import org.guavathread.core.publish.StorePosition;
 import org.guavathread.core.sheet.SocketAddressText;
 
 /**
@@ -390,14 +391,14 @@
     /**
      * Finds the reachable host that has applied the newest published state.
      *
-     * @param revision the revision that this host has applied
+     * @param applied the store's position that this host has applied
      * @param nowMillis the current time
-     * @return the report of that host, or empty if no revision is newer than the given one
+     * @return the report of that host, or empty if no host is after the given position
      */
-    public Optional<HostReport> mostRecentState(long revision, long nowMillis) {
+    public Optional<HostReport> mostRecentState(StorePosition applied, long nowMillis) {
         return reachableHosts(nowMillis).stream()
-                .filter(r -> r.storeRevision() > revision)
-                .max((a, b) -> Long.compare(a.storeRevision(), b.storeRevision()));
+                .filter(r -> r.store().isAfter(applied))
+                .max(Comparator.comparing(HostReport::store));
     }
 
     /**
--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
@@ -8,6 +8,7 @@
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.id.WorkspaceId;
+import org.guavathread.core.publish.StorePosition;
 import org.guavathread.core.sheet.SocketAddressText;
 
 /**
@@ -21,7 +22,7 @@
  * @param callers address on which it listens for callers
  * @param peers address on which it listens for other hosts
  * @param phase lifecycle phase of its process
- * @param storeRevision revision of the published state that it has applied
+ * @param store position of the published state that it has applied
  * @param admitted units that it has admitted for each workspace since its start
  * @param withinReach number of hosts that are reachable for it, including itself
  * @param waiting length of its admission queue
@@ -39,7 +40,7 @@
         SocketAddressText callers,
         SocketAddressText peers,
         HostPhase phase,
-        long storeRevision,
+        StorePosition store,
         List<WorkspaceTotal> admitted,
         int withinReach,
         int waiting,
@@ -122,7 +123,7 @@
                 callers,
                 peers,
                 later,
-                storeRevision,
+                store,
                 admitted,
                 withinReach,
                 waiting,
--- a/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
@@ -15,8 +15,9 @@
 import org.guavathread.core.routing.RoutingTable;
 
 /**
- * The store's published state, as far as this host has applied it. Neither the state as a whole nor the configuration
- * ever reverts to an older version; a listing or an event that arrives late has no effect.
+ * The store's published state, as far as this host has applied it. Within an epoch of the store, listings and events that
+ * arrive late have no effect. The first listing of a later epoch replaces all items, whatever their revisions. The
+ * configuration never reverts to an older version.
  */
 public final class PublishedState {
 
@@ -24,7 +25,7 @@
     private final WorkerRegistry registry = new WorkerRegistry();
     private final Map<String, StoreItem> items = new HashMap<>();
     private RoutingTable table;
-    private long revision;
+    private StorePosition position = StorePosition.START;
     private long unreadable;
 
     /**
@@ -40,26 +41,33 @@
      * Applies a complete listing.
      *
      * @param listing all items
-     * @param at the store's revision before the first item was listed
+     * @param at the store's position before the first item was listed
      * @param nowMillis the current time
      * @return what changed
      */
-    public List<StateChange> applyListing(Collection<StoreItem> listing, long at, long nowMillis) {
-        if (at < revision) {
+    public List<StateChange> applyListing(Collection<StoreItem> listing, StorePosition at, long nowMillis) {
+        if (position.isAfter(at)) {
             return List.of();
         }
+        Map<String, StoreItem> previous = Map.copyOf(items);
+        boolean isNewEpoch = !position.equals(StorePosition.START) && at.epoch() > position.epoch();
+        if (isNewEpoch) {
+            items.clear();
+            registry.sourceReplaced(nowMillis);
+        }
         List<StateChange> changes = new ArrayList<>();
         Set<String> present = new HashSet<>();
         for (StoreItem item : listing) {
             present.add(item.key());
             apply(item, nowMillis, changes);
         }
-        for (String key : List.copyOf(items.keySet())) {
-            if (!present.contains(key) && items.get(key).revision() <= at) {
-                apply(StoreItem.deleted(key, at), nowMillis, changes);
+        previous.forEach((key, item) -> {
+            if (!present.contains(key) && (isNewEpoch || item.revision() <= at.revision())) {
+                items.remove(key);
+                decode(StoreItem.deleted(key, at.revision()), nowMillis, changes);
             }
-        }
-        revision = at;
+        });
+        position = at;
         return changes;
     }
 
@@ -67,17 +75,21 @@
      * Applies events in the order of their revisions.
      *
      * @param events changed and deleted items
-     * @param at the store's revision after the last one
+     * @param at the store's position after the last one, in the epoch that this host has applied
      * @param nowMillis the current time
      * @return what changed
+     * @throws IllegalArgumentException if the events are of another epoch, so that some may be missing before them
      */
-    public List<StateChange> applyEvents(Collection<StoreItem> events, long at, long nowMillis) {
+    public List<StateChange> applyEvents(Collection<StoreItem> events, StorePosition at, long nowMillis) {
+        if (at.epoch() != position.epoch()) {
+            throw new IllegalArgumentException("Events at " + at + " do not continue a state at " + position + ".");
+        }
         List<StateChange> changes = new ArrayList<>();
-        long applied = revision;
+        long applied = position.revision();
         // Whatever happened up to the applied revision is contained in it. An older event may name a server that has
         // been removed since, of which nothing is left to compare the event with.
         events.stream().filter(event -> event.revision() > applied).forEach(event -> apply(event, nowMillis, changes));
-        revision = Math.max(revision, at);
+        position = at.isAfter(position) ? at : position;
         return changes;
     }
 
@@ -94,6 +106,10 @@
         } else {
             items.put(item.key(), item);
         }
+        decode(item, nowMillis, changes);
+    }
+
+    private void decode(StoreItem item, long nowMillis, List<StateChange> changes) {
         if (decoder.isConfiguration(item.key())) {
             applyConfiguration(item, changes);
         } else {
@@ -165,12 +181,12 @@
     }
 
     /**
-     * Returns the applied revision.
+     * Returns the applied position.
      *
-     * @return the store's revision; 0 before the first listing
+     * @return the store's position; {@link StorePosition#START} before the first listing
      */
-    public long revision() {
-        return revision;
+    public StorePosition position() {
+        return position;
     }
 
     /**
--- a/guavathread-core/src/main/java/org/guavathread/core/publish/StateSnapshot.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/StateSnapshot.java
@@ -7,10 +7,10 @@
 /**
  * Published state that a host sends to another one that cannot reach the store.
  *
- * @param revision the store's revision that the sending host has applied
+ * @param position the store's position that the sending host has applied
  * @param items all items
  */
-public record StateSnapshot(long revision, List<Item> items) implements PeerMessage {
+public record StateSnapshot(StorePosition position, List<Item> items) implements PeerMessage {
 
     /**
      * One item.
--- a/guavathread-core/src/main/java/org/guavathread/core/publish/StoreFollower.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/StoreFollower.java
@@ -47,6 +47,7 @@
     private boolean callRunning;
     private boolean peerCallRunning;
     private boolean listed;
+    private boolean listedInVain;
     private int failures;
     private long nextCallMillis;
     private long behindSinceMillis = Long.MAX_VALUE;
@@ -114,10 +115,24 @@
         return recovered;
     }
 
-    /** Records that the store has discarded the history since the applied revision, so that a listing is needed. */
-    public void historyGone() {
+    /**
+     * Records that the store cannot continue from the applied position, because it has discarded that history or has begun
+     * another one, so that a listing is needed. If the last listing led to the same answer, the next one is delayed.
+     *
+     * @param nowMillis the current time
+     */
+    public void historyGone(long nowMillis) {
         callRunning = false;
         listed = false;
+        if (listedInVain) {
+            nextCallMillis = Math.max(nextCallMillis, nowMillis + MAX_BACKOFF_MILLIS);
+        }
+        listedInVain = true;
+    }
+
+    /** Records that the store has continued from the applied position. */
+    public void continued() {
+        listedInVain = false;
     }
 
     /**
--- a/guavathread-core/src/main/java/org/guavathread/core/registry/WorkerRegistry.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/registry/WorkerRegistry.java
@@ -66,6 +66,17 @@
         lapsed.remove(id);
     }
 
+    /**
+     * Records that the source has been replaced by an older copy of itself. Servers that registered since then are
+     * missing there until they register again.
+     *
+     * @param nowMillis the current time
+     */
+    public void sourceReplaced(long nowMillis) {
+        outage = false;
+        outageEndedAtMillis = nowMillis;
+    }
+
     /** Records that the source of the entries is unreachable. */
     public void sourceUnreachable() {
         outage = true;
--- a/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
@@ -9,6 +9,7 @@
 import org.guavathread.core.dispatch.WaitingRank;
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
+import org.guavathread.core.publish.StorePosition;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.junit.jupiter.api.Test;
 
@@ -93,7 +94,7 @@
                     from,
                     from,
                     HostPhase.READY,
-                    now,
+                    new StorePosition(1, now),
                     List.of(),
                     views.get(from).reachableHosts(now).size() + 1,
                     0,
@@ -233,7 +234,22 @@
         assertTrue(view.apply(second, 200));
         assertFalse(view.apply(first, 300));
         assertFalse(view.apply(second, 300));
-        assertEquals(200, view.mostRecentState(0, 300).orElseThrow().storeRevision());
+        assertEquals(
+                200,
+                view.mostRecentState(StorePosition.START, 300)
+                        .orElseThrow()
+                        .store()
+                        .revision());
+    }
+
+    @Test
+    void aLaterEpochOfTheStoreIsMoreRecentThanAHigherRevision() {
+        FleetView view = new FleetView(new HostId("h1"), 0, List.of(), new SplittableRandom(1));
+        Fleet fleet = new Fleet();
+        fleet.start(2, List.of(), 50);
+        view.apply(fleet.report(address(2), 100), 100);
+        assertTrue(view.mostRecentState(new StorePosition(1, 99), 200).isPresent());
+        assertTrue(view.mostRecentState(new StorePosition(2, 10), 200).isEmpty());
     }
 
     @Test
--- a/guavathread-core/src/test/java/org/guavathread/core/publish/PublishedStateTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/publish/PublishedStateTest.java
@@ -8,6 +8,7 @@
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.registry.EngineStage;
 import org.guavathread.core.registry.Worker;
+import org.guavathread.core.registry.WorkerRegistry;
 import org.guavathread.core.routing.RoutingTable;
 import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.sheet.SocketAddressText;
@@ -15,6 +16,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against reverting to an older state, and against invalid items of other writers. */
@@ -67,6 +69,10 @@
         return StoreItem.stored(key, revision, text.getBytes(StandardCharsets.UTF_8));
     }
 
+    private static StorePosition at(long revision) {
+        return new StorePosition(1, revision);
+    }
+
     private List<String> usable() {
         return state.registry().usable(SERVICE).stream()
                 .map(w -> w.id().value())
@@ -76,71 +82,100 @@
 
     @Test
     void listingRemovesItemsThatItDoesNotContain() {
-        state.applyListing(List.of(item("config", 3, "7"), item("s/a", 4, "ready"), item("s/b", 5, "ready")), 5, 0);
-        state.applyListing(List.of(item("config", 3, "7"), item("s/b", 5, "ready")), 9, 10_000);
+        state.applyListing(List.of(item("config", 3, "7"), item("s/a", 4, "ready"), item("s/b", 5, "ready")), at(5), 0);
+        state.applyListing(List.of(item("config", 3, "7"), item("s/b", 5, "ready")), at(9), 10_000);
         assertEquals(List.of("b"), usable());
-        assertEquals(9, state.revision());
+        assertEquals(9, state.position().revision());
     }
 
     @Test
     void lateEventDoesNotBringBackAServerThatHasLeft() {
-        state.applyListing(List.of(item("s/a", 4, "ready")), 5, 0);
-        state.applyListing(List.of(), 9, 1_000);
-        state.applyEvents(List.of(item("s/a", 7, "ready")), 7, 1_100);
+        state.applyListing(List.of(item("s/a", 4, "ready")), at(5), 0);
+        state.applyListing(List.of(), at(9), 1_000);
+        state.applyEvents(List.of(item("s/a", 7, "ready")), at(7), 1_100);
         assertEquals(List.of(), usable(), "the watch was answered before the server left, and its answer came after");
-        state.applyEvents(List.of(item("s/a", 10, "ready")), 10, 1_200);
+        state.applyEvents(List.of(item("s/a", 10, "ready")), at(10), 1_200);
         assertEquals(List.of("a"), usable(), "the server has started again under its id");
     }
 
     @Test
     void overwrittenEntryNamesNoServerEvenDuringAnOutage() {
-        state.applyListing(List.of(item("s/a", 4, "ready")), 5, 0);
+        state.applyListing(List.of(item("s/a", 4, "ready")), at(5), 0);
         state.registry().sourceUnreachable();
-        state.applyEvents(List.of(item("s/a", 6, "not readable")), 6, 1_000);
+        state.applyEvents(List.of(item("s/a", 6, "not readable")), at(6), 1_000);
         assertEquals(List.of(), usable());
     }
 
     @Test
     void lateListingAndEventsHaveNoEffect() {
-        state.applyListing(List.of(item("config", 8, "9"), item("s/a", 7, "ready")), 10, 0);
-        state.applyListing(List.of(item("config", 3, "7")), 5, 1_000);
-        state.applyEvents(List.of(item("s/a", 6, "draining")), 6, 1_000);
+        state.applyListing(List.of(item("config", 8, "9"), item("s/a", 7, "ready")), at(10), 0);
+        state.applyListing(List.of(item("config", 3, "7")), at(5), 1_000);
+        state.applyEvents(List.of(item("s/a", 6, "draining")), at(6), 1_000);
+        assertEquals(9, state.table().orElseThrow().version());
+        assertEquals(List.of("a"), usable());
+        assertEquals(10, state.position().revision());
+    }
+
+    @Test
+    void listingOfALaterEpochReplacesItemsOfHigherRevisions() {
+        state.applyListing(List.of(item("config", 18, "7"), item("s/a", 19, "ready")), at(20), 0);
+        state.applyListing(List.of(item("config", 4, "9"), item("s/b", 5, "ready")), new StorePosition(2, 5), 10_000);
+        state.registry().expire(20_000);
         assertEquals(9, state.table().orElseThrow().version());
+        assertEquals(List.of("b"), usable());
+        state.applyListing(List.of(item("config", 30, "12")), at(30), 20_000);
+        assertEquals(9, state.table().orElseThrow().version(), "a late listing of the lost history");
+        assertEquals(new StorePosition(2, 5), state.position());
+    }
+
+    @Test
+    void eventsOfAnotherEpochAreNotTakenForTheContinuationOfThisOne() {
+        state.applyListing(List.of(item("config", 3, "7")), at(3), 0);
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> state.applyEvents(List.of(item("config", 6, "9")), new StorePosition(2, 6), 0));
+    }
+
+    @Test
+    void serverThatIsMissingInALaterEpochStaysUsableWhileItMayRegisterAgain() {
+        state.applyListing(List.of(item("s/a", 1, "ready"), item("s/b", 2, "ready")), at(2), 0);
+        state.applyListing(List.of(item("s/a", 1, "ready")), new StorePosition(2, 1), 10_000);
+        assertEquals(List.of("a", "b"), usable());
+        state.registry().expire(10_000 + WorkerRegistry.GRACE_PERIOD_MILLIS);
         assertEquals(List.of("a"), usable());
-        assertEquals(10, state.revision());
     }
 
     @Test
     void configurationNeverRevertsToAnOlderVersion() {
-        state.applyListing(List.of(item("config", 3, "7")), 3, 0);
-        state.applyEvents(List.of(item("config", 4, "6")), 4, 0);
+        state.applyListing(List.of(item("config", 3, "7")), at(3), 0);
+        state.applyEvents(List.of(item("config", 4, "6")), at(4), 0);
         assertEquals(7, state.table().orElseThrow().version());
-        state.applyEvents(List.of(item("config", 5, "12")), 5, 0);
+        state.applyEvents(List.of(item("config", 5, "12")), at(5), 0);
         assertEquals(12, state.table().orElseThrow().version());
     }
 
     @Test
     void itemThatCannotBeDecodedRemovesOnlyItsOwnServer() {
-        state.applyListing(List.of(item("s/a", 1, "ready"), item("s/b", 2, "\u0000?")), 2, 0);
-        state.applyEvents(List.of(item("s/a", 3, "lost")), 3, 10_000);
+        state.applyListing(List.of(item("s/a", 1, "ready"), item("s/b", 2, "\u0000?")), at(2), 0);
+        state.applyEvents(List.of(item("s/a", 3, "lost")), at(3), 10_000);
         assertEquals(List.of(), usable());
         assertEquals(2, state.unreadable());
-        state.applyEvents(List.of(item("s/a", 4, "ready")), 4, 10_000);
+        state.applyEvents(List.of(item("s/a", 4, "ready")), at(4), 10_000);
         assertEquals(List.of("a"), usable());
     }
 
     @Test
     void drainingIsAppliedAtOnce() {
-        state.applyListing(List.of(item("s/a", 1, "ready")), 1, 0);
-        List<StateChange> changes = state.applyEvents(List.of(item("s/a", 2, "draining")), 2, 0);
+        state.applyListing(List.of(item("s/a", 1, "ready")), at(1), 0);
+        List<StateChange> changes = state.applyEvents(List.of(item("s/a", 2, "draining")), at(2), 0);
         assertEquals(List.of(), usable());
         assertTrue(changes.get(0).outcome().startsWith("draining"));
     }
 
     @Test
     void heartbeatsWithTheSameValueAreNoChange() {
-        state.applyListing(List.of(item("s/a", 1, "ready")), 1, 0);
-        assertEquals(List.of(), state.applyEvents(List.of(item("s/a", 2, "ready")), 2, 0));
+        state.applyListing(List.of(item("s/a", 1, "ready")), at(1), 0);
+        assertEquals(List.of(), state.applyEvents(List.of(item("s/a", 2, "ready")), at(2), 0));
     }
 
     @Test
@@ -151,7 +186,7 @@
         follower.answered(false, 5);
         assertEquals(StoreFollower.Call.WATCH, follower.next(10).orElseThrow());
         follower.answered(false, 15);
-        follower.historyGone();
+        follower.historyGone(18);
         assertEquals(StoreFollower.Call.LISTING, follower.next(20).orElseThrow());
     }
 
--- a/guavathread-core/src/test/java/org/guavathread/core/publish/StoreFollowerTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/publish/StoreFollowerTest.java
@@ -71,6 +71,24 @@
         assertEquals(Optional.of(Call.WATCH), follower.next(4_010));
     }
 
+    /** Guards against 838 listings in 4 s of a store that had come back from an older copy. */
+    @Test
+    void listingsThatLeadNowhereAreNotRepeatedAtOnce() {
+        StoreFollower follower = new StoreFollower(IN_FORCE_MILLIS);
+        int listings = 0;
+        for (long now = 0; now < 4_000; now++) {
+            Optional<Call> call = follower.next(now);
+            if (call.equals(Optional.of(Call.LISTING))) {
+                listings++;
+                follower.answered(false, now);
+            } else if (call.isPresent()) {
+                follower.answered(false, now);
+                follower.historyGone(now);
+            }
+        }
+        assertTrue(listings <= 8, listings + " listings in 4 s");
+    }
+
     @Test
     void aHostThatLagsBehindAsksAnotherWithinTheTimeLimit() {
         StoreFollower follower = listed();
@@ -84,7 +102,7 @@
                 address,
                 address,
                 HostPhase.READY,
-                9,
+                new StorePosition(1, 9),
                 List.of(),
                 1,
                 0,
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -225,11 +225,16 @@
                         "guavathread_limited_servers",
                         "Backend servers that state a limit on their requests.",
                         () -> callOnLoop(() -> context.serverLimits().size(), 0));
+        context.metrics()
+                .gauge(
+                        "guavathread_store_epoch",
+                        "The store's epoch that this host has applied; it grows when the store returns from an older copy.",
+                        () -> callOnLoop(() -> context.state().position().epoch(), 0L));
         context.metrics()
                 .gauge(
                         "guavathread_store_revision",
-                        "The store's revision that this host has applied.",
-                        () -> callOnLoop(() -> context.state().revision(), 0L));
+                        "The store's revision within that epoch that this host has applied.",
+                        () -> callOnLoop(() -> context.state().position().revision(), 0L));
         context.metrics()
                 .gauge(
                         "guavathread_unreadable_items",
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
@@ -240,7 +240,7 @@
                 .with("workspace", workspace.map(w -> w.id().value()).orElse("none"))
                 .with("charge", charge)
                 .with("version", table.version())
-                .with("revision", context.state().revision())
+                .with("revision", context.state().position().revision())
                 .with("deadlineInMillis", deadlineMillis - now)
                 .with("crashTest", isCrashTest)
                 .write();
@@ -313,7 +313,7 @@
                 .with(
                         "version",
                         context.state().table().map(RoutingTable::version).orElse(0L))
-                .with("revision", context.state().revision())
+                .with("revision", context.state().position().revision())
                 .write();
         Refusals.write(exchange, refusal, context.callerProtocol().headersOf(refusal));
     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
@@ -320,7 +320,7 @@
                 identity.callers(),
                 identity.peers(),
                 phase,
-                context.state().revision(),
+                context.state().position(),
                 context.limits().totals(),
                 fleet.reachableHosts(nowMillis).size() + 1,
                 router.waiting(),
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateRelay.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateRelay.java
@@ -39,7 +39,7 @@
         List<StateSnapshot.Item> items = state.items().stream()
                 .map(i -> new StateSnapshot.Item(i.key(), i.revision(), deflate(i.value())))
                 .toList();
-        return codec.encode(new Frame(0, false, new StateSnapshot(state.revision(), items)));
+        return codec.encode(new Frame(0, false, new StateSnapshot(state.position(), items)));
     }
 
     /**
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
@@ -26,7 +26,6 @@
     private final Runnable onChange;
     private final StoreFollower follower;
     private final StateRelay relay = new StateRelay();
-    private long seenEpoch;
 
     /**
      * Creates the synchroniser.
@@ -51,7 +50,7 @@
         long now = context.loop().nowMillis();
         context.state().registry().expire(now);
         follower.next(now).ifPresent(this::call);
-        Optional<HostReport> ahead = fleet.mostRecentState(context.state().revision(), now);
+        Optional<HostReport> ahead = fleet.mostRecentState(context.state().position(), now);
         follower.nextPeer(ahead, now).ifPresent(this::requestPeerState);
     }
 
@@ -61,16 +60,19 @@
             case LISTING ->
                 store.list(now + StoreFollower.LISTING_TIMEOUT_MILLIS)
                         .whenComplete((reply, failure) -> context.loop().execute(() -> listed(reply, failure)));
-            case WATCH ->
-                store.watch(
-                                context.state().revision(),
-                                StoreFollower.WATCH_MILLIS,
-                                now + StoreFollower.WATCH_MILLIS + StoreFollower.WATCH_SLACK_MILLIS)
-                        .whenComplete((reply, failure) -> context.loop().execute(() -> watched(reply, failure)));
+            case WATCH -> watch(context.state().position(), now);
             default -> throw new IllegalStateException("Unknown store call " + call + ".");
         }
     }
 
+    private void watch(StorePosition from, long nowMillis) {
+        store.watch(
+                        from.revision(),
+                        StoreFollower.WATCH_MILLIS,
+                        nowMillis + StoreFollower.WATCH_MILLIS + StoreFollower.WATCH_SLACK_MILLIS)
+                .whenComplete((reply, failure) -> context.loop().execute(() -> watched(from, reply, failure)));
+    }
+
     private void listed(StoreClient.Reply reply, Throwable failure) {
         if (failure != null) {
             storeFailed(failure);
@@ -78,38 +80,30 @@
         }
         long now = context.loop().nowMillis();
         storeAnswered(false, now);
-        noteEpoch(reply.position());
         logPosition("listed", reply.position());
-        handleChanges(
-                context.state().applyListing(reply.items(), reply.position().revision(), now), "store listing");
+        handleChanges(context.state().applyListing(reply.items(), reply.position(), now), "store listing");
         step();
     }
 
-    private void watched(StoreClient.Reply reply, Throwable failure) {
+    private void watched(StorePosition from, StoreClient.Reply reply, Throwable failure) {
         if (failure != null) {
             storeFailed(failure);
             return;
         }
         long now = context.loop().nowMillis();
-        storeAnswered(!reply.items().isEmpty(), now);
-        noteEpoch(reply.position());
-        if (reply.historyGone()) {
-            follower.historyGone();
+        // The revision that was asked for may exist in the store's present epoch and mean another state there.
+        boolean continues = !reply.historyGone() && reply.position().epoch() == from.epoch();
+        storeAnswered(continues && !reply.items().isEmpty(), now);
+        if (!continues) {
+            follower.historyGone(now);
             logPosition("history gone, listing again", reply.position());
-        } else {
-            handleChanges(
-                    context.state().applyEvents(reply.items(), reply.position().revision(), now), "store watch");
+        } else if (from.epoch() == context.state().position().epoch()) {
+            follower.continued();
+            handleChanges(context.state().applyEvents(reply.items(), reply.position(), now), "store watch");
         }
         step();
     }
 
-    private void noteEpoch(StorePosition position) {
-        if (position.epoch() != seenEpoch) {
-            seenEpoch = position.epoch();
-            logPosition("other epoch", position);
-        }
-    }
-
     /** Logs where the store is, beside where this host is. */
     private void logPosition(String outcome, StorePosition position) {
         context.log()
@@ -117,7 +111,8 @@
                 .with("outcome", outcome)
                 .with("storeEpoch", position.epoch())
                 .with("storeRevision", position.revision())
-                .with("revision", context.state().revision())
+                .with("epoch", context.state().position().epoch())
+                .with("revision", context.state().position().revision())
                 .write();
     }
 
@@ -128,7 +123,8 @@
                     .entry("dependency")
                     .with("name", "store")
                     .with("outcome", "regained")
-                    .with("revision", context.state().revision())
+                    .with("epoch", context.state().position().epoch())
+                    .with("revision", context.state().position().revision())
                     .write();
         }
     }
@@ -143,7 +139,8 @@
                     .with("name", "store")
                     .with("outcome", "lost")
                     .with("failure", failure.getMessage())
-                    .with("revision", context.state().revision())
+                    .with("epoch", context.state().position().epoch())
+                    .with("revision", context.state().position().revision())
                     .write();
         }
         context.metrics().stateChanged("store call failed");
@@ -167,7 +164,7 @@
         }
         try {
             StateSnapshot snapshot = relay.decode(answer.body());
-            List<StateChange> changes = context.state().applyListing(relay.itemsOf(snapshot), snapshot.revision(), now);
+            List<StateChange> changes = context.state().applyListing(relay.itemsOf(snapshot), snapshot.position(), now);
             handleChanges(changes, "host " + peer.host());
         } catch (CodecException e) {
             Logger.warn("The published state from host {} cannot be decoded: {}.", peer.host(), e.getMessage());
