Withhold servers that left before the store's return from an older copy

Cause: what a host knows of servers was replaced by the copy's entries as a whole. Revisions and items may go back with the store, but not that a process has left. An entry of a later epoch that names the same process is withheld: for good if its shutdown was announced, else until silent servers' entries have expired in the copy (three reports, now a setting, and the grace period). An earlier process of a server does not replace a later one in that time. Within one epoch the latest entry counts as before, so a server that was only silent returns at once.

--- a/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 
 import org.guavathread.core.id.BackendServerId;
+import org.guavathread.core.registry.DepartedServers;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.registry.WorkerRegistry;
 import org.guavathread.core.routing.RoutingTable;
@@ -22,19 +23,27 @@
 public final class PublishedState {
 
     private final ItemDecoder decoder;
+    private final long silenceMillis;
     private final WorkerRegistry registry = new WorkerRegistry();
+    private final DepartedServers departed = new DepartedServers();
+    private final Map<BackendServerId, StoreItem> withheld = new HashMap<>();
     private final Map<String, StoreItem> items = new HashMap<>();
     private RoutingTable table;
     private StorePosition position = StorePosition.START;
     private long unreadable;
 
+    /** Until then, the store may list servers that ended after its copy was made, since their entries have not expired. */
+    private long outdatedUntilMillis;
+
     /**
      * Creates an empty state.
      *
      * @param decoder decodes items
+     * @param silenceMillis time after which the store removes the entry of a silent server, in milliseconds
      */
-    public PublishedState(ItemDecoder decoder) {
+    public PublishedState(ItemDecoder decoder, long silenceMillis) {
         this.decoder = decoder;
+        this.silenceMillis = silenceMillis;
     }
 
     /**
@@ -50,11 +59,11 @@
             return List.of();
         }
         Map<String, StoreItem> previous = Map.copyOf(items);
-        boolean isNewEpoch = !position.equals(StorePosition.START) && at.epoch() > position.epoch();
+        boolean isNewEpoch = at.epoch() > position.epoch();
         if (isNewEpoch) {
-            items.clear();
-            registry.sourceReplaced(nowMillis);
+            beginEpoch(nowMillis);
         }
+        position = at;
         List<StateChange> changes = new ArrayList<>();
         Set<String> present = new HashSet<>();
         for (StoreItem item : listing) {
@@ -67,7 +76,57 @@
                 decode(StoreItem.deleted(key, at.revision()), nowMillis, changes);
             }
         });
-        position = at;
+        return changes;
+    }
+
+    private void beginEpoch(long nowMillis) {
+        if (!position.equals(StorePosition.START)) {
+            items.clear();
+            registry.sourceReplaced(nowMillis);
+        }
+        // A host that starts cannot tell for how long the store has been back.
+        outdatedUntilMillis = nowMillis + silenceMillis + WorkerRegistry.GRACE_PERIOD_MILLIS;
+    }
+
+    /**
+     * Adds departures that another host knows, and withholds the servers that this host has listed in spite of them.
+     *
+     * @param departures the departures
+     * @param nowMillis the current time
+     * @return what changed
+     */
+    public List<StateChange> applyDepartures(Collection<DepartedServers.Departure> departures, long nowMillis) {
+        Set<BackendServerId> news = new HashSet<>();
+        for (DepartedServers.Departure each : departures) {
+            if (departed.merge(each, nowMillis)) {
+                news.add(each.server());
+            }
+        }
+        List<StateChange> changes = new ArrayList<>();
+        if (!news.isEmpty()) {
+            items.values()
+                    .forEach(item -> decoder.serverOf(item.key())
+                            .filter(news::contains)
+                            .ifPresent(id -> applyServer(id, item, nowMillis, changes)));
+        }
+        return changes;
+    }
+
+    /**
+     * Ends grace periods. Servers that were withheld and are still listed are usable then.
+     *
+     * @param nowMillis the current time
+     * @return what changed
+     */
+    public List<StateChange> expire(long nowMillis) {
+        registry.expire(nowMillis);
+        departed.expire(nowMillis);
+        List<StateChange> changes = new ArrayList<>();
+        if (nowMillis >= outdatedUntilMillis) {
+            Map<BackendServerId, StoreItem> released = Map.copyOf(withheld);
+            withheld.clear();
+            released.forEach((id, item) -> applyServer(id, item, nowMillis, changes));
+        }
         return changes;
     }
 
@@ -136,21 +195,15 @@
     }
 
     private void applyServer(BackendServerId id, StoreItem item, long nowMillis, List<StateChange> changes) {
+        withheld.remove(id);
         if (item.isDeleted()) {
+            registry.find(id).ifPresent(worker -> departed.record(worker, position.epoch(), nowMillis));
             String outcome = registry.remove(id, nowMillis) ? "gone" : "lapsed";
             changes.add(change("server", id.value(), outcome, item));
             return;
         }
         try {
-            Worker worker = decoder.server(id, item.value());
-            Worker previous = registry.find(id).orElse(null);
-            registry.put(worker);
-            if (!worker.equals(previous)) {
-                String outcome = (worker.draining() ? "draining" : "usable") + " as "
-                        + worker.stage().name().toLowerCase(java.util.Locale.ROOT) + " of " + worker.service()
-                        + " at " + worker.address();
-                changes.add(change("server", id.value(), outcome, item));
-            }
+            applyEntry(decoder.server(id, item.value()), item, nowMillis, changes);
         } catch (IllegalArgumentException e) {
             unreadable++;
             registry.withdraw(id);
@@ -158,6 +211,50 @@
         }
     }
 
+    private void applyEntry(Worker worker, StoreItem item, long nowMillis, List<StateChange> changes) {
+        BackendServerId id = worker.id();
+        Optional<Worker> previous = registry.find(id);
+        if (isWithheld(worker, previous, item, nowMillis)) {
+            changes.add(change("server", id.value(), "withheld, listed by an older copy of the store", item));
+            return;
+        }
+        if (worker.draining()) {
+            departed.record(worker, position.epoch(), nowMillis);
+        } else {
+            departed.returned(id);
+        }
+        registry.put(worker);
+        if (!previous.equals(Optional.of(worker))) {
+            String outcome = (worker.draining() ? "draining" : "usable") + " as "
+                    + worker.stage().name().toLowerCase(java.util.Locale.ROOT) + " of " + worker.service() + " at "
+                    + worker.address();
+            changes.add(change("server", id.value(), outcome, item));
+        }
+    }
+
+    /** Withholds a server of which this host knows more than the listed entry says. */
+    private boolean isWithheld(Worker worker, Optional<Worker> previous, StoreItem item, long nowMillis) {
+        boolean mayBeOutdated = nowMillis < outdatedUntilMillis;
+        if (!worker.draining() && departed.hasLeft(worker, position.epoch(), false)) {
+            registry.put(worker.leaving());
+            return true;
+        }
+        if (!worker.draining() && departed.hasLeft(worker, position.epoch(), mayBeOutdated)) {
+            registry.withdraw(worker.id());
+            withheld.put(worker.id(), item);
+            return true;
+        }
+        if (mayBeOutdated
+                && previous.filter(p -> p.startedAtMillis() > worker.startedAtMillis())
+                        .isPresent()) {
+            // The entry is of an earlier process; the present one has to register again.
+            registry.remove(worker.id(), nowMillis);
+            withheld.put(worker.id(), item);
+            return true;
+        }
+        return false;
+    }
+
     private static StateChange change(String what, String name, String outcome, StoreItem item) {
         return new StateChange(what, name, outcome, item.revision());
     }
@@ -198,6 +295,16 @@
         return List.copyOf(items.values());
     }
 
+    /**
+     * Returns the servers that have left, for other hosts.
+     *
+     * @param nowMillis the current time
+     * @return their departures
+     */
+    public List<DepartedServers.Departure> departures(long nowMillis) {
+        return departed.departures(nowMillis);
+    }
+
     /**
      * Returns the number of items that could not be decoded.
      *
--- a/guavathread-core/src/main/java/org/guavathread/core/registry/Worker.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/registry/Worker.java
@@ -25,4 +25,14 @@
         int slots,
         boolean draining,
         EngineStage stage,
-        long startedAtMillis) {}
+        long startedAtMillis) {
+
+    /**
+     * Returns a copy of this entry of which the shutdown is announced.
+     *
+     * @return the copy
+     */
+    public Worker leaving() {
+        return new Worker(id, service, address, dataCentre, slots, true, stage, startedAtMillis);
+    }
+}
--- a/guavathread-core/src/test/java/org/guavathread/core/publish/PublishedStateTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/publish/PublishedStateTest.java
@@ -23,8 +23,10 @@
 class PublishedStateTest {
 
     private static final ServiceName SERVICE = new ServiceName("patio");
+    private static final long SILENCE_MILLIS = 3_600;
+    private static final long ENTRIES_EXPIRED_MILLIS = SILENCE_MILLIS + WorkerRegistry.GRACE_PERIOD_MILLIS;
 
-    private final PublishedState state = new PublishedState(new TextDecoder());
+    private final PublishedState state = new PublishedState(new TextDecoder(), SILENCE_MILLIS);
 
     /** Decodes items that are plain text: a version, or the state of a server. */
     private static final class TextDecoder implements ItemDecoder {
@@ -44,9 +46,11 @@
             return RoutingTable.builder(Long.parseLong(text(value))).build();
         }
 
+        /** Decodes the state of a server, and the start time of its process after a space. */
         @Override
         public Worker server(BackendServerId id, byte[] value) {
-            if (!List.of("ready", "draining").contains(text(value))) {
+            String[] words = text(value).split(" ");
+            if (!List.of("ready", "draining").contains(words[0])) {
                 throw new IllegalArgumentException("no state");
             }
             return new Worker(
@@ -55,9 +59,9 @@
                     new SocketAddressText("127.0.0.1", 80),
                     new DataCentreId("talca"),
                     6,
-                    "draining".equals(text(value)),
+                    "draining".equals(words[0]),
                     EngineStage.NONE,
-                    0);
+                    words.length > 1 ? Long.parseLong(words[1]) : 0);
         }
 
         private static String text(byte[] value) {
@@ -145,6 +149,65 @@
         assertEquals(List.of("a"), usable());
     }
 
+    private static StorePosition restoredAt(long revision) {
+        return new StorePosition(2, revision);
+    }
+
+    @Test
+    void serverThatAnnouncedItsShutdownIsNotUsedOnTheWordOfAnOlderCopy() {
+        state.applyListing(List.of(item("s/a", 4, "ready 1"), item("s/b", 5, "ready 1")), at(5), 0);
+        state.applyEvents(List.of(item("s/a", 6, "draining 1")), at(6), 10_000);
+        state.applyListing(List.of(item("s/a", 4, "ready 1"), item("s/b", 5, "ready 1")), restoredAt(5), 20_000);
+        assertEquals(List.of("b"), usable());
+        state.expire(20_000 + ENTRIES_EXPIRED_MILLIS);
+        assertEquals(List.of(), state.expire(30_000), "it has left for good, which is no news");
+        assertEquals(List.of("b"), usable());
+        state.applyEvents(List.of(item("s/a", 8, "ready 2")), restoredAt(8), 30_000);
+        assertEquals(List.of("a", "b"), usable(), "another process of the server");
+    }
+
+    @Test
+    void serverWhoseEntryWasRemovedIsWithheldUntilTheCopysEntryWouldHaveExpired() {
+        state.applyListing(List.of(item("s/a", 4, "ready 1")), at(5), 0);
+        state.applyEvents(List.of(StoreItem.deleted("s/a", 6)), at(6), 10_000);
+        state.applyListing(List.of(item("s/a", 4, "ready 1")), restoredAt(5), 20_000);
+        state.expire(20_000 + ENTRIES_EXPIRED_MILLIS - 1);
+        assertEquals(List.of(), usable());
+        state.expire(20_000 + ENTRIES_EXPIRED_MILLIS);
+        assertEquals(List.of("a"), usable(), "it was only silent, and its entry is kept alive");
+    }
+
+    @Test
+    void serverWhoseEntryWasRemovedReturnsWithinAnEpochAtOnce() {
+        state.applyListing(List.of(item("s/a", 4, "ready 1")), at(5), 0);
+        state.applyEvents(List.of(StoreItem.deleted("s/a", 6)), at(6), 10_000);
+        state.applyEvents(List.of(item("s/a", 7, "ready 1")), at(7), 10_100);
+        assertEquals(List.of("a"), usable());
+        state.applyListing(List.of(item("s/a", 4, "ready 1")), restoredAt(5), 20_000);
+        assertEquals(List.of("a"), usable(), "its return has ended the departure");
+    }
+
+    @Test
+    void laterProcessOfAServerIsNotReplacedByAnEarlierOne() {
+        state.applyListing(List.of(item("s/a", 4, "ready 1")), at(5), 0);
+        state.applyEvents(List.of(item("s/a", 6, "ready 2")), at(6), 10_000);
+        state.applyListing(List.of(item("s/a", 4, "ready 1")), restoredAt(5), 20_000);
+        assertEquals(2, state.registry().usable(SERVICE).get(0).startedAtMillis());
+        state.applyEvents(List.of(item("s/a", 6, "ready 2")), restoredAt(6), 21_000);
+        state.expire(40_000);
+        assertEquals(2, state.registry().usable(SERVICE).get(0).startedAtMillis());
+    }
+
+    @Test
+    void hostThatStartsLearnsFromAnotherWhichServersHaveLeft() {
+        PublishedState started = new PublishedState(new TextDecoder(), SILENCE_MILLIS);
+        state.applyListing(List.of(item("s/a", 4, "ready 1"), item("s/b", 5, "ready 1")), at(5), 0);
+        state.applyEvents(List.of(item("s/a", 6, "draining 1"), StoreItem.deleted("s/b", 7)), at(7), 10_000);
+        started.applyListing(List.of(item("s/a", 4, "ready 1"), item("s/b", 5, "ready 1")), restoredAt(5), 20_000);
+        started.applyDepartures(state.departures(20_100), 20_100);
+        assertEquals(List.of(), started.registry().usable(SERVICE));
+    }
+
     @Test
     void configurationNeverRevertsToAnOlderVersion() {
         state.applyListing(List.of(item("config", 3, "7")), at(3), 0);
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -79,6 +79,9 @@
     /** Interval at which store calls, readiness, engine roles and entry answers are checked and updated. */
     private static final long TICK_MILLIS = 100;
 
+    /** Reports that a server misses before the store removes its entry. */
+    private static final int MISSED_REPORTS = 3;
+
     /** Minimum drain time after SIGTERM. Callers cache entry answers, so new requests keep arriving for this long. */
     private static final long MIN_DRAIN_MILLIS = 2_500;
 
@@ -168,7 +171,7 @@
                 .withIdleMillis(0, 0);
         return new GatewayContext(
                 loop,
-                new PublishedState(platform.itemDecoder()),
+                new PublishedState(platform.itemDecoder(), MISSED_REPORTS * settings.serverReportMillis()),
                 new SharedTokenLimits(settings.burstAllowance(), settings.isFirstStart()),
                 new FairShareTracker(),
                 new SharedRetryBudget(settings.retryRatio(), settings.retryExtra(), settings.retryWindowMillis()),
@@ -248,7 +251,7 @@
     }
 
     private PageServer.Page statePage() {
-        return page(() -> new StateRelay().encode(context.state()));
+        return page(() -> new StateRelay().encode(context.state(), clock.nowMillis()));
     }
 
     private PageServer.Page permitPage(PageServer.Query query) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateRelay.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateRelay.java
@@ -33,13 +33,15 @@
      * Encodes the state.
      *
      * @param state the state
+     * @param nowMillis the current time
      * @return its bytes
      */
-    public byte[] encode(PublishedState state) {
+    public byte[] encode(PublishedState state, long nowMillis) {
         List<StateSnapshot.Item> items = state.items().stream()
                 .map(i -> new StateSnapshot.Item(i.key(), i.revision(), deflate(i.value())))
                 .toList();
-        return codec.encode(new Frame(0, false, new StateSnapshot(state.position(), items)));
+        return codec.encode(
+                new Frame(0, false, new StateSnapshot(state.position(), items, state.departures(nowMillis))));
     }
 
     /**
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
@@ -1,5 +1,6 @@
 package org.guavathread.gateway.fleet;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
@@ -48,7 +49,7 @@
     /** Expires registry entries and makes the store and peer calls that are due. */
     public void step() {
         long now = context.loop().nowMillis();
-        context.state().registry().expire(now);
+        handleChanges(context.state().expire(now), "end of a grace period");
         follower.next(now).ifPresent(this::call);
         Optional<HostReport> ahead = fleet.mostRecentState(context.state().position(), now);
         follower.nextPeer(ahead, now).ifPresent(this::requestPeerState);
@@ -164,7 +165,9 @@
         }
         try {
             StateSnapshot snapshot = relay.decode(answer.body());
-            List<StateChange> changes = context.state().applyListing(relay.itemsOf(snapshot), snapshot.position(), now);
+            List<StateChange> changes =
+                    new ArrayList<>(context.state().applyListing(relay.itemsOf(snapshot), snapshot.position(), now));
+            changes.addAll(context.state().applyDepartures(snapshot.departed(), now));
             handleChanges(changes, "host " + peer.host());
         } catch (CodecException e) {
             Logger.warn("The published state from host {} cannot be decoded: {}.", peer.host(), e.getMessage());
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/settings/GatewaySettings.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/settings/GatewaySettings.java
@@ -78,6 +78,12 @@
             usage = "time within which a change of the store must be in force, in milliseconds")
     private long applyMillis = 2_000;
 
+    @Option(
+            name = "--server-report-millis",
+            metaVar = "N",
+            usage = "interval at which backend servers report to the store, in milliseconds")
+    private long serverReportMillis = 1_200;
+
     @Option(name = "--log-level", metaVar = "LEVEL", usage = "trace, debug, info, warn or error")
     private String logLevel = "info";
 
@@ -108,6 +114,9 @@
         if (applyMillis < 100) {
             faults.add("--apply-millis is " + applyMillis + "; it must be at least 100.");
         }
+        if (serverReportMillis < 1) {
+            faults.add("--server-report-millis is " + serverReportMillis + "; it must be at least 1.");
+        }
         if (prefillShare > 1) {
             faults.add("--prefill-share is " + prefillShare + "; it must be at most 1.");
         }
@@ -303,6 +312,15 @@
         return applyMillis;
     }
 
+    /**
+     * Returns the interval at which backend servers report to the store.
+     *
+     * @return milliseconds
+     */
+    public long serverReportMillis() {
+        return serverReportMillis;
+    }
+
     /**
      * Returns the minimum level of free-text log lines.
      *
