Ask hosts that ran before for the configuration in force

What callers saw: a host that started, or came back, after the store's return accepted an API key that had been withdrawn, and did not know a route that had been added, until the operator's next write.

Cause: hosts told each other only how far they had read the store, so nobody learned that another host had a later configuration than the store; and a host that started believed the store at once. Hosts now report the version of their configuration, and one that reports a later version is asked for it at once, whatever the store's position. After a new epoch, each host asks one other which servers have left.

--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
@@ -389,16 +389,42 @@
     }
 
     /**
-     * Finds the reachable host that has applied the newest published state.
+     * Finds the reachable host that knows most of the published state that this host does not know. The version of the
+     * configuration counts first, since a store that came back from an older copy may not have it.
      *
      * @param applied the store's position that this host has applied
+     * @param configuration version of the configuration in force at this host
      * @param nowMillis the current time
-     * @return the report of that host, or empty if no host is after the given position
+     * @return the report of that host, or empty if no host has a later position or a later configuration
      */
-    public Optional<HostReport> mostRecentState(StorePosition applied, long nowMillis) {
+    public Optional<HostReport> mostRecentState(StorePosition applied, long configuration, long nowMillis) {
         return reachableHosts(nowMillis).stream()
-                .filter(r -> r.store().isAfter(applied))
-                .max(Comparator.comparing(HostReport::store));
+                .filter(r -> r.store().isAfter(applied) || r.configuration() > configuration)
+                .max(Comparator.comparingLong(HostReport::configuration).thenComparing(HostReport::store));
+    }
+
+    /**
+     * Picks a reachable host that serves callers, and so has the published state.
+     *
+     * @param nowMillis the current time
+     * @return a random one, or empty if there is none
+     */
+    public Optional<HostReport> anyServingHost(long nowMillis) {
+        List<HostReport> serving = new ArrayList<>(reachableHosts(nowMillis));
+        serving.removeIf(r -> !r.phase().takesCallers());
+        return serving.isEmpty() ? Optional.empty() : Optional.of(serving.get(random.nextInt(serving.size())));
+    }
+
+    /**
+     * Returns the addresses at which a host that starts may find the published state.
+     *
+     * @param nowMillis the current time
+     * @return the seeds, which may include this host, and the reachable hosts that serve callers
+     */
+    public Set<SocketAddressText> stateSources(long nowMillis) {
+        Set<SocketAddressText> sources = new LinkedHashSet<>(seeds);
+        reachableHosts(nowMillis).stream().filter(r -> r.phase().takesCallers()).forEach(r -> sources.add(r.peers()));
+        return sources;
     }
 
     /**
--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
@@ -23,6 +23,7 @@
  * @param peers address on which it listens for other hosts
  * @param phase lifecycle phase of its process
  * @param store position of the published state that it has applied
+ * @param configuration version of the configuration in force; 0 before the first one
  * @param admitted units that it has admitted for each workspace since its start
  * @param withinReach number of hosts that are reachable for it, including itself
  * @param waiting length of its admission queue
@@ -41,6 +42,7 @@
         SocketAddressText peers,
         HostPhase phase,
         StorePosition store,
+        long configuration,
         List<WorkspaceTotal> admitted,
         int withinReach,
         int waiting,
@@ -124,6 +126,7 @@
                 peers,
                 later,
                 store,
+                configuration,
                 admitted,
                 withinReach,
                 waiting,
--- a/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
@@ -29,6 +29,7 @@
     private final Map<BackendServerId, StoreItem> withheld = new HashMap<>();
     private final Map<String, StoreItem> items = new HashMap<>();
     private RoutingTable table;
+    private StoreItem tableItem;
     private StorePosition position = StorePosition.START;
     private long unreadable;
 
@@ -88,6 +89,18 @@
         outdatedUntilMillis = nowMillis + silenceMillis + WorkerRegistry.GRACE_PERIOD_MILLIS;
     }
 
+    /**
+     * Applies the configuration that is in force at another host, whatever the store says.
+     *
+     * @param item the configuration's item
+     * @return what changed
+     */
+    public List<StateChange> applyConfigurationOf(StoreItem item) {
+        List<StateChange> changes = new ArrayList<>();
+        applyConfiguration(item, changes);
+        return changes;
+    }
+
     /**
      * Adds departures that another host knows, and withholds the servers that this host has listed in spite of them.
      *
@@ -184,6 +197,7 @@
             RoutingTable next = decoder.configuration(item.value());
             if (table == null || next.version() > table.version()) {
                 table = next;
+                tableItem = item;
                 changes.add(change("configuration", Long.toString(next.version()), "in force", item));
             } else {
                 changes.add(change("configuration", Long.toString(next.version()), "older, ignored", item));
@@ -287,12 +301,32 @@
     }
 
     /**
-     * Returns all items, for a host that cannot reach the store.
+     * Returns the version of the configuration in force.
+     *
+     * @return the version; 0 before the first one was applied
+     */
+    public long version() {
+        return table == null ? 0 : table.version();
+    }
+
+    /**
+     * Returns the item of the configuration in force, which the store may have lost.
+     *
+     * @return the item, or empty before the first configuration was applied
+     */
+    public Optional<StoreItem> configuration() {
+        return Optional.ofNullable(tableItem);
+    }
+
+    /**
+     * Returns all items except the configuration, for a host that cannot reach the store.
      *
      * @return the items as they are stored
      */
     public List<StoreItem> items() {
-        return List.copyOf(items.values());
+        return items.values().stream()
+                .filter(item -> !decoder.isConfiguration(item.key()))
+                .toList();
     }
 
     /**
--- a/guavathread-core/src/main/java/org/guavathread/core/publish/StoreFollower.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/StoreFollower.java
@@ -79,18 +79,20 @@
     /**
      * Decides whether to request the state of another host, and counts the request as running.
      *
-     * @param ahead the host that has applied the newest state, if that is newer than this host's
+     * @param ahead the host that knows most of what this host does not know
+     * @param applied the store's position that this host has applied
      * @param nowMillis the current time
      * @return the host to ask
      */
-    public Optional<HostReport> nextPeer(Optional<HostReport> ahead, long nowMillis) {
+    public Optional<HostReport> nextPeer(Optional<HostReport> ahead, StorePosition applied, long nowMillis) {
         if (ahead.isEmpty()) {
             behindSinceMillis = Long.MAX_VALUE;
             return Optional.empty();
         }
         behindSinceMillis = Math.min(behindSinceMillis, nowMillis);
-        boolean waited = !listed || nowMillis - behindSinceMillis >= debounceMillis + PEER_FALLBACK_SLACK_MILLIS;
-        if (peerCallRunning || !waited || nowMillis < nextPeerCallMillis) {
+        boolean storeMayTell = listed && ahead.get().store().isAfter(applied);
+        boolean waited = nowMillis - behindSinceMillis >= debounceMillis + PEER_FALLBACK_SLACK_MILLIS;
+        if (peerCallRunning || storeMayTell && !waited || nowMillis < nextPeerCallMillis) {
             return Optional.empty();
         }
         peerCallRunning = true;
--- a/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
@@ -39,6 +39,7 @@
         private int syncs;
         private int reportsPerDatagram = 8;
         private WaitingRank best = WaitingRank.NONE;
+        private long configuration;
 
         void start(int number, List<SocketAddressText> seeds, long now) {
             SocketAddressText address = address(number);
@@ -95,6 +96,7 @@
                     from,
                     HostPhase.READY,
                     new StorePosition(1, now),
+                    configuration,
                     List.of(),
                     views.get(from).reachableHosts(now).size() + 1,
                     0,
@@ -236,7 +238,7 @@
         assertFalse(view.apply(second, 300));
         assertEquals(
                 200,
-                view.mostRecentState(StorePosition.START, 300)
+                view.mostRecentState(StorePosition.START, 0, 300)
                         .orElseThrow()
                         .store()
                         .revision());
@@ -248,8 +250,19 @@
         Fleet fleet = new Fleet();
         fleet.start(2, List.of(), 50);
         view.apply(fleet.report(address(2), 100), 100);
-        assertTrue(view.mostRecentState(new StorePosition(1, 99), 200).isPresent());
-        assertTrue(view.mostRecentState(new StorePosition(2, 10), 200).isEmpty());
+        assertTrue(view.mostRecentState(new StorePosition(1, 99), 0, 200).isPresent());
+        assertTrue(view.mostRecentState(new StorePosition(2, 10), 0, 200).isEmpty());
+    }
+
+    @Test
+    void aLaterConfigurationIsMoreRecentThanALaterPosition() {
+        FleetView view = new FleetView(new HostId("h1"), 0, List.of(), new SplittableRandom(1));
+        Fleet fleet = new Fleet();
+        fleet.start(2, List.of(), 50);
+        fleet.configuration = 9;
+        view.apply(fleet.report(address(2), 100), 100);
+        assertTrue(view.mostRecentState(new StorePosition(2, 10), 8, 200).isPresent());
+        assertTrue(view.mostRecentState(new StorePosition(2, 10), 9, 200).isEmpty());
     }
 
     @Test
--- a/guavathread-core/src/test/java/org/guavathread/core/publish/StoreFollowerTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/publish/StoreFollowerTest.java
@@ -103,6 +103,7 @@
                 address,
                 HostPhase.READY,
                 new StorePosition(1, 9),
+                7,
                 List.of(),
                 1,
                 0,
@@ -112,8 +113,10 @@
                 List.of(),
                 List.of());
         assertEquals(
-                Optional.empty(), follower.nextPeer(Optional.of(ahead), 100), "its own watch may return the change");
-        assertTrue(
-                follower.nextPeer(Optional.of(ahead), 100 + IN_FORCE_MILLIS / 2).isPresent());
+                Optional.empty(),
+                follower.nextPeer(Optional.of(ahead), new StorePosition(1, 8), 100),
+                "its own watch may return the change");
+        assertTrue(follower.nextPeer(Optional.of(ahead), new StorePosition(1, 8), 100 + IN_FORCE_MILLIS / 2)
+                .isPresent());
     }
 }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.id.Incarnation;
 import org.guavathread.core.publish.PublishedState;
+import org.guavathread.core.publish.StartSynchronisation;
 import org.guavathread.core.publish.StoreFollower;
 import org.guavathread.core.routing.CallerBounds;
 import org.guavathread.core.routing.RoutingTable;
@@ -150,6 +151,7 @@
                 platform.storeClient(context.client(), settings),
                 fleet,
                 new StoreFollower(settings.applyMillis()),
+                startSynchronisation(),
                 this::step);
         this.roleCoordinator =
                 new RoleCoordinator(settings.hostId(), context, fleet, new RolePlan(settings.prefillShare()));
@@ -191,6 +193,11 @@
                 random.split());
     }
 
+    private StartSynchronisation startSynchronisation() {
+        long waitMillis = settings.isFirstStart() ? 0 : StartSynchronisation.MAX_WAIT_MILLIS;
+        return new StartSynchronisation(settings.listenPeers(), startedAtMillis + waitMillis);
+    }
+
     private CallerServer addServers(Platform platform) {
         PauseDetector pauses = supervisor.add(new PauseDetector(clock));
         RequestIds ids = new RequestIds(settings.hostId(), new Incarnation(startedAtMillis));
@@ -205,7 +212,7 @@
                 settings.listenPeers(),
                 Map.of(
                         StateRelay.PATH,
-                        query -> statePage(),
+                        this::statePage,
                         FleetRelay.PATH,
                         query -> page(reporter::encodeAllReports),
                         PermitRelay.PATH,
@@ -250,8 +257,15 @@
         return callOnLoop(router::inProgress, 0);
     }
 
-    private PageServer.Page statePage() {
-        return page(() -> new StateRelay().encode(context.state(), clock.nowMillis()));
+    private PageServer.Page statePage(PageServer.Query query) {
+        StateRelay.Known known;
+        try {
+            known = StateRelay.Known.of(query);
+        } catch (NumberFormatException e) {
+            Logger.warn("A request for the published state cannot be read: {}.", e.getMessage());
+            return PageServer.Page.empty(400);
+        }
+        return page(() -> new StateRelay().encode(context.state(), known, clock.nowMillis()));
     }
 
     private PageServer.Page permitPage(PageServer.Query query) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
@@ -321,6 +321,7 @@
                 identity.peers(),
                 phase,
                 context.state().position(),
+                context.state().version(),
                 context.limits().totals(),
                 fleet.reachableHosts(nowMillis).size() + 1,
                 router.waiting(),
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateRelay.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateRelay.java
@@ -3,19 +3,25 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.zip.DeflaterOutputStream;
 import java.util.zip.InflaterOutputStream;
 
 import org.guavathread.core.publish.PublishedState;
+import org.guavathread.core.publish.StateChange;
 import org.guavathread.core.publish.StateSnapshot;
 import org.guavathread.core.publish.StoreItem;
+import org.guavathread.core.publish.StorePosition;
 import org.guavathread.router.http.HttpRequest;
+import org.guavathread.router.page.PageServer;
+import org.guavathread.wire.CodecException;
 import org.guavathread.wire.Frame;
 import org.guavathread.wire.FrameCodec;
 import org.guavathread.wire.MessageRegistry;
 
-/** Transfers the published state to hosts that cannot reach the store. */
+/** Transfers the published state to hosts that cannot reach the store, or whose store has lost a part of it. */
 public final class StateRelay {
 
     /** Path under which a host serves its state to other hosts. */
@@ -30,50 +36,91 @@
             new FrameCodec(new MessageRegistry().register(SNAPSHOT_MESSAGE, StateSnapshot.class));
 
     /**
-     * Encodes the state.
+     * What the asking host knows.
      *
-     * @param state the state
-     * @param nowMillis the current time
-     * @return its bytes
+     * @param position the store's position that it has applied
+     * @param version version of the configuration in force there; 0 if none is
      */
-    public byte[] encode(PublishedState state, long nowMillis) {
-        List<StateSnapshot.Item> items = state.items().stream()
-                .map(i -> new StateSnapshot.Item(i.key(), i.revision(), deflate(i.value())))
-                .toList();
-        return codec.encode(
-                new Frame(0, false, new StateSnapshot(state.position(), items, state.departures(nowMillis))));
+    public record Known(StorePosition position, long version) {
+
+        private String query() {
+            return "?epoch=" + position.epoch() + "&revision=" + position.revision() + "&version=" + version;
+        }
+
+        /**
+         * Decodes the query of a request.
+         *
+         * @param query the query
+         * @return what the asking host knows
+         * @throws NumberFormatException if a parameter is missing or not a whole number
+         */
+        public static Known of(PageServer.Query query) {
+            return new Known(
+                    new StorePosition(
+                            Long.parseLong(query.parameter("epoch")), Long.parseLong(query.parameter("revision"))),
+                    Long.parseLong(query.parameter("version")));
+        }
     }
 
     /**
-     * Decodes a snapshot of the state.
+     * Encodes what another host does not know of the state.
      *
-     * @param bytes the encoded snapshot
-     * @return the state
+     * @param state the state
+     * @param known what the other host knows
+     * @param nowMillis the current time
+     * @return the encoded snapshot
      */
-    public StateSnapshot decode(byte[] bytes) {
-        return (StateSnapshot) codec.decode(bytes).message();
+    public byte[] encode(PublishedState state, Known known, long nowMillis) {
+        Optional<List<StateSnapshot.Item>> items = state.position().isAfter(known.position())
+                ? Optional.of(state.items().stream().map(StateRelay::encode).toList())
+                : Optional.empty();
+        Optional<StateSnapshot.Item> configuration = state.configuration()
+                .filter(c -> state.version() > known.version())
+                .map(StateRelay::encode);
+        return codec.encode(new Frame(
+                0, false, new StateSnapshot(state.position(), items, configuration, state.departures(nowMillis))));
+    }
+
+    private static StateSnapshot.Item encode(StoreItem item) {
+        return new StateSnapshot.Item(item.key(), item.revision(), deflate(item.value()));
     }
 
     /**
-     * Returns the items of a snapshot.
+     * Applies a snapshot.
      *
-     * @param snapshot the snapshot
-     * @return the items with their values decompressed
+     * @param bytes the encoded snapshot
+     * @param state the state of this host
+     * @param nowMillis the current time
+     * @return what changed
+     * @throws CodecException if the snapshot cannot be decoded
      */
-    public List<StoreItem> itemsOf(StateSnapshot snapshot) {
-        return snapshot.items().stream()
-                .map(i -> StoreItem.stored(i.key(), i.revision(), inflate(i.deflated())))
-                .toList();
+    public List<StateChange> apply(byte[] bytes, PublishedState state, long nowMillis) {
+        StateSnapshot snapshot = (StateSnapshot) codec.decode(bytes).message();
+        List<StateChange> changes = new ArrayList<>(state.applyDepartures(snapshot.departed(), nowMillis));
+        snapshot.items()
+                .map(items -> items.stream().map(StateRelay::decode).toList())
+                .ifPresent(items -> changes.addAll(state.applyListing(items, snapshot.position(), nowMillis)));
+        snapshot.configuration()
+                .map(StateRelay::decode)
+                .ifPresent(item -> changes.addAll(state.applyConfigurationOf(item)));
+        return changes;
+    }
+
+    private static StoreItem decode(StateSnapshot.Item item) {
+        return StoreItem.stored(item.key(), item.revision(), inflate(item.deflated()));
     }
 
     /**
      * Builds the request for another host's state.
      *
+     * @param known what this host knows
      * @param nowMillis the current time
      * @return the request
      */
-    public HttpRequest request(long nowMillis) {
-        return HttpRequest.get(PATH).deadlineMillis(nowMillis + TIMEOUT_MILLIS).build();
+    public HttpRequest request(Known known, long nowMillis) {
+        return HttpRequest.get(PATH + known.query())
+                .deadlineMillis(nowMillis + TIMEOUT_MILLIS)
+                .build();
     }
 
     private static byte[] deflate(byte[] bytes) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
@@ -1,15 +1,17 @@
 package org.guavathread.gateway.fleet;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 
 import org.guavathread.core.gossip.FleetView;
 import org.guavathread.core.gossip.HostReport;
+import org.guavathread.core.publish.PublishedState;
+import org.guavathread.core.publish.StartSynchronisation;
 import org.guavathread.core.publish.StateChange;
-import org.guavathread.core.publish.StateSnapshot;
 import org.guavathread.core.publish.StoreFollower;
 import org.guavathread.core.publish.StorePosition;
+import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.gateway.call.GatewayContext;
 import org.guavathread.gateway.protocol.StoreClient;
 import org.guavathread.router.http.HttpResponse;
@@ -26,6 +28,7 @@
     private final FleetView fleet;
     private final Runnable onChange;
     private final StoreFollower follower;
+    private final StartSynchronisation start;
     private final StateRelay relay = new StateRelay();
 
     /**
@@ -35,14 +38,21 @@
      * @param store client of the store
      * @param fleet this host's view of the other hosts
      * @param follower schedules the calls
+     * @param start decides which hosts are asked before the store
      * @param onChange runs after the state has changed
      */
     public StateSynchroniser(
-            GatewayContext context, StoreClient store, FleetView fleet, StoreFollower follower, Runnable onChange) {
+            GatewayContext context,
+            StoreClient store,
+            FleetView fleet,
+            StoreFollower follower,
+            StartSynchronisation start,
+            Runnable onChange) {
         this.context = context;
         this.store = store;
         this.fleet = fleet;
         this.follower = follower;
+        this.start = start;
         this.onChange = onChange;
     }
 
@@ -50,9 +60,16 @@
     public void step() {
         long now = context.loop().nowMillis();
         handleChanges(context.state().expire(now), "end of a grace period");
+        if (!start.isDone(now)) {
+            start.next(fleet.stateSources(now)).forEach(this::requestState);
+            return;
+        }
         follower.next(now).ifPresent(this::call);
-        Optional<HostReport> ahead = fleet.mostRecentState(context.state().position(), now);
-        follower.nextPeer(ahead, now).ifPresent(this::requestPeerState);
+        PublishedState state = context.state();
+        Optional<HostReport> ahead = fleet.mostRecentState(state.position(), state.version(), now);
+        follower.nextPeer(ahead, state.position(), now)
+                .ifPresent(peer -> requestState(peer.peers())
+                        .thenRun(() -> follower.peerAnswered(context.loop().nowMillis())));
     }
 
     private void call(StoreFollower.Call call) {
@@ -82,7 +99,12 @@
         long now = context.loop().nowMillis();
         storeAnswered(false, now);
         logPosition("listed", reply.position());
+        StorePosition before = context.state().position();
         handleChanges(context.state().applyListing(reply.items(), reply.position(), now), "store listing");
+        if (reply.position().epoch() > before.epoch() && !before.equals(StorePosition.START)) {
+            // This host may have been away while servers left that the copy still lists.
+            fleet.anyServingHost(now).ifPresent(peer -> requestState(peer.peers()));
+        }
         step();
     }
 
@@ -147,30 +169,36 @@
         context.metrics().stateChanged("store call failed");
     }
 
-    private void requestPeerState(HostReport peer) {
+    /** Asks another host for what this one does not know; completes on the event loop's thread, whatever the outcome. */
+    private CompletableFuture<Void> requestState(SocketAddressText peer) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        StateRelay.Known known =
+                new StateRelay.Known(context.state().position(), context.state().version());
         context.client()
-                .send(peer.peers(), relay.request(context.loop().nowMillis()))
-                .whenComplete((answer, failure) -> context.loop().execute(() -> peerAnswered(peer, answer, failure)));
+                .send(peer, relay.request(known, context.loop().nowMillis()))
+                .whenComplete((answer, failure) -> context.loop().execute(() -> {
+                    stateReceived(peer, answer, failure);
+                    done.complete(null);
+                }));
+        return done;
     }
 
-    private void peerAnswered(HostReport peer, HttpResponse answer, Throwable failure) {
-        long now = context.loop().nowMillis();
-        follower.peerAnswered(now);
+    private void stateReceived(SocketAddressText peer, HttpResponse answer, Throwable failure) {
         if (failure != null || answer.status() != STATUS_OK) {
             Logger.warn(
                     "Reading the published state from host {} failed: {}.",
-                    peer.host(),
+                    peer,
                     failure == null ? "status " + answer.status() : failure.getMessage());
             return;
         }
         try {
-            StateSnapshot snapshot = relay.decode(answer.body());
-            List<StateChange> changes =
-                    new ArrayList<>(context.state().applyListing(relay.itemsOf(snapshot), snapshot.position(), now));
-            changes.addAll(context.state().applyDepartures(snapshot.departed(), now));
-            handleChanges(changes, "host " + peer.host());
+            handleChanges(
+                    relay.apply(answer.body(), context.state(), context.loop().nowMillis()), "host " + peer);
         } catch (CodecException e) {
-            Logger.warn("The published state from host {} cannot be decoded: {}.", peer.host(), e.getMessage());
+            Logger.warn("The published state from host {} cannot be decoded: {}.", peer, e.getMessage());
+        }
+        if (context.state().version() > 0) {
+            start.answered();
         }
     }
 
