--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -312,7 +312,7 @@
     }
 
     private void prefillAnswered(Worker prefill, EnginePlan plan, HttpResponse answer) {
-        Optional<PrefillResult> prompt = context.backendProtocol().prefillResultOf(prefill, answer, now());
+        Optional<PrefillResult> prompt = context.backendProtocol().prefillResultOf(request(), prefill, answer, now());
         prompt.ifPresent(resources::keep);
         AnswerMeaning meaning = prompt.isPresent()
                 ? AnswerMeaning.RAN
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/BackendProtocol.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/BackendProtocol.java
@@ -35,12 +35,13 @@
     /**
      * Decodes the answer of {@link #prefill}.
      *
+     * @param request the caller's request
      * @param engine the engine that answered
      * @param answer its answer
      * @param nowMillis the current time
-     * @return the KV cache, or empty if the prefill did not run
+     * @return the KV cache, or empty if the prefill did not run or the answer is of another request
      */
-    Optional<PrefillResult> prefillResultOf(Worker engine, HttpResponse answer, long nowMillis);
+    Optional<PrefillResult> prefillResultOf(CallerRequest request, Worker engine, HttpResponse answer, long nowMillis);
 
     /**
      * Builds the call that frees a KV cache that will not be fetched.
