Continue a broken stream only with events of the same type

What callers would see: a stream had begun and its engine broke off; the next engine answered 200 with something that is no stream (an error as JSON or text, an empty 204, or text framed as an event stream), and the caller found that text within its stream, or a stream that ended as if it were complete.

Cause: only the status told whether an answer continues a stream. A continuation must now have the content type of the answer that the caller is receiving, and consist of event fields and comments; one that ends with its connection must have had an event. Everything else counts as broken: it is resumed elsewhere or ends visibly broken. An answer that is a whole error (4xx, 5xx) was handled before.

A continuation of length 0 with the right type is taken for the end, since all events may have been sent before the first engine broke off.

--- a/guavathread-core/src/main/java/org/guavathread/core/stream/EventFramer.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/stream/EventFramer.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /**
  * Splits a stream of server-sent events at event boundaries, so that only complete events are forwarded and a broken
@@ -21,10 +22,14 @@
     private static final String ID_FIELD = "id:";
     private static final String DATA_FIELD = "data:";
 
+    /** The fields of event streams, extensions in lower case, and comments. */
+    private static final Pattern FIELD_OR_COMMENT = Pattern.compile("(id|event|data|retry|x-[a-z-]+)?:");
+
     private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
     private String lastEventId;
     private int events;
     private int contentLines;
+    private boolean malformed;
 
     /**
      * Accepts the next bytes of a stream.
@@ -88,6 +93,30 @@
         return contentLines;
     }
 
+    /**
+     * Tells whether a complete event had a line that is neither a field nor a comment, such as the text of an error.
+     *
+     * @return true if the bytes are no event stream
+     */
+    public boolean isMalformed() {
+        return malformed;
+    }
+
+    /**
+     * Tells whether the stream, if it ends now, had a line that is neither a field nor a comment.
+     *
+     * @return true if the bytes, those of an incomplete event included, are no event stream
+     */
+    public boolean isMalformedAtEnd() {
+        return malformed || hasMalformedLine(partial.toString(StandardCharsets.UTF_8));
+    }
+
+    private static boolean hasMalformedLine(String text) {
+        return text.lines()
+                .anyMatch(line ->
+                        !line.isEmpty() && !FIELD_OR_COMMENT.matcher(line).lookingAt());
+    }
+
     /**
      * Returns and clears the bytes of an incomplete event.
      *
@@ -118,6 +147,7 @@
     }
 
     private void recordFields(String whole) {
+        malformed |= hasMalformedLine(whole);
         for (String line : whole.split("\r?\n", -1)) {
             if (line.startsWith(ID_FIELD)) {
                 lastEventId = line.substring(ID_FIELD.length()).strip();
--- a/guavathread-core/src/test/java/org/guavathread/core/stream/EventFramerTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/stream/EventFramerTest.java
@@ -38,6 +38,22 @@
         assertEquals("5", framer.lastEventId().orElseThrow());
     }
 
+    @Test
+    void textThatIsNoEventIsMalformed() {
+        for (String text : new String[] {"{\"error\":1}\n\n", "HTTP/1.1 500 x\r\nServer: y\r\n\r\n", "boom\n\n"}) {
+            EventFramer framer = new EventFramer();
+            framer.accept(bytes("id: 1\ndata: a\n\n"));
+            framer.accept(bytes(text));
+            assertTrue(framer.isMalformed(), text);
+        }
+        EventFramer sound = new EventFramer();
+        sound.accept(bytes("x-weight-versions: 2\nid: 1\ndata: a\nevent: b\nretry: 1\n: c\n\n"));
+        assertFalse(sound.isMalformed());
+        sound.accept(bytes("boom"));
+        assertFalse(sound.isMalformed(), "the line may be incomplete");
+        assertTrue(sound.isMalformedAtEnd());
+    }
+
     @Test
     void reportsAnEventWithoutEnd() {
         EventFramer framer = new EventFramer();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineRun.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineRun.java
@@ -21,6 +21,7 @@
     private final Worker worker;
     private final EventFramer framer = new EventFramer();
     private final ByteArrayOutputStream nonStreamBody = new ByteArrayOutputStream();
+    private final boolean isContinuation;
     private HttpHead head;
     private AnswerMeaning meaning;
     private boolean finished;
@@ -29,6 +30,7 @@
     EngineRun(StreamCall call, Worker worker) {
         this.call = call;
         this.worker = worker;
+        this.isContinuation = call.isOpen();
     }
 
     @Override
@@ -44,6 +46,8 @@
         }
         if (meaning == AnswerMeaning.FOREIGN) {
             failed("the answer is not this request's", false);
+        } else if (isContinuation && isStream() && !call.hasContentTypeOf(received)) {
+            failed("the answer is no stream that could be continued", false);
         }
     }
 
@@ -66,6 +70,10 @@
             hasAcquitted = true;
             call.recordAnswered();
         }
+        if (isContinuation && framer.isMalformed()) {
+            failed("the continuation is no event", false);
+            return;
+        }
         if (completeEvents.length > 0) {
             call.forward(this, head, completeEvents, framer.contentLines() > contentBefore);
         }
@@ -83,10 +91,14 @@
         if (finished || call.isEnded()) {
             return;
         }
-        if (isStream() && endsWithConnection() && (framer.hasPartial() || !call.isOpen())) {
+        if (isStream() && endsWithConnection() && (framer.hasPartial() || framer.contentLines() == 0)) {
             failed("the stream ended in the middle of an event", false);
             return;
         }
+        if (isStream() && isContinuation && framer.isMalformedAtEnd()) {
+            failed("the continuation is no event", false);
+            return;
+        }
         finished = true;
         call.clearBackendCall();
         if (!isStream()) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -50,6 +50,7 @@
     /** Minimum retry delay as a share of the maximum, because bursts last for some seconds. */
     private static final double MIN_RETRY_DELAY_SHARE = 0.5;
 
+    private static final String CONTENT_TYPE = "Content-Type";
     private static final String NO_ENGINE_CAPACITY = "No engine has room.";
 
     private final BackendClient backendClient;
@@ -62,6 +63,7 @@
     private final StreamProgress progress;
     private EventLoop.Timer stallTimer;
     private CallerExchange.StreamBody out;
+    private Optional<String> contentType = Optional.empty();
     private Optional<String> lastEventId;
     private boolean prefillTried;
     private long firstEventAtMillis;
@@ -465,6 +467,11 @@
         return out != null;
     }
 
+    /** Tells whether an answer has the type of the one that the caller is receiving. */
+    boolean hasContentTypeOf(HttpHead head) {
+        return head.header(CONTENT_TYPE).equals(contentType);
+    }
+
     void lastEvent(String id) {
         lastEventId = Optional.of(id);
     }
@@ -505,6 +512,7 @@
             end("caller gone", 0);
             return false;
         }
+        contentType = head.header(CONTENT_TYPE);
         firstEventAtMillis = now();
         long millis = firstEventAtMillis - exchange().arrivedAtMillis();
         context.metrics().firstByte(admitted.rule().kind(), millis);
