Let a host that starts wait for both the store and another host

Asking other hosts first let a host that starts serve for some milliseconds by the state of a host that was cut off from the store, with a key that had been withdrawn since (by reading; the window was not hit in a test).

--- a/guavathread-core/src/main/java/org/guavathread/core/publish/StartSynchronisation.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/StartSynchronisation.java
@@ -9,27 +9,35 @@
 import org.guavathread.core.sheet.SocketAddressText;
 
 /**
- * Decides whom a host that starts asks before it reads the store. The store may have come back from an older copy, in which
- * API keys that were withdrawn since are in force again; hosts that ran before know better.
+ * Decides when a host that starts has heard enough to serve. It asks the store and hosts that ran before, and waits for
+ * both: the store may have come back from an older copy, in which API keys that were withdrawn since are in force again,
+ * and another host may have been cut off from the store.
  */
 public final class StartSynchronisation {
 
-    /** Maximum time for which a host waits for others; hosts that know it send a report within 250 ms. */
-    public static final long MAX_WAIT_MILLIS = 400;
+    /** Maximum time to wait for another host; hosts that know this one send it a report within 250 ms. */
+    public static final long HOST_WAIT_MILLIS = 400;
+
+    /** Maximum time to wait for the store before another host's state is used; a slow store takes 200 ms. */
+    public static final long STORE_WAIT_MILLIS = 300;
 
     private final Set<SocketAddressText> asked = new HashSet<>();
-    private final long endsAtMillis;
-    private boolean answered;
+    private final boolean waits;
+    private final long startedAtMillis;
+    private boolean hostAnswered;
+    private boolean storeAnswered;
 
     /**
      * Creates the synchronisation.
      *
      * @param own this host's address for other hosts, which is not asked
-     * @param endsAtMillis when the host goes on alone; in the past if no host can have run before
+     * @param isFirstStart whether no host can have run before, so that there is nothing to wait for
+     * @param startedAtMillis start time of this process
      */
-    public StartSynchronisation(SocketAddressText own, long endsAtMillis) {
+    public StartSynchronisation(SocketAddressText own, boolean isFirstStart, long startedAtMillis) {
         asked.add(own);
-        this.endsAtMillis = endsAtMillis;
+        this.waits = !isFirstStart;
+        this.startedAtMillis = startedAtMillis;
     }
 
     /**
@@ -44,18 +52,25 @@
         return next;
     }
 
-    /** Records that a host has sent a configuration. */
-    public void answered() {
-        answered = true;
+    /** Records that another host has sent a configuration. */
+    public void hostAnswered() {
+        hostAnswered = true;
+    }
+
+    /** Records that the store has answered or that the call has failed. */
+    public void storeAnswered() {
+        storeAnswered = true;
     }
 
     /**
-     * Tells whether the store may be read.
+     * Tells whether what was heard may be applied.
      *
      * @param nowMillis the current time
-     * @return true once a host has answered, or none did in time
+     * @return true once a host and the store have answered, or did not in time
      */
     public boolean isDone(long nowMillis) {
-        return answered || nowMillis >= endsAtMillis;
+        boolean hostDone = hostAnswered || nowMillis >= startedAtMillis + HOST_WAIT_MILLIS;
+        boolean storeDone = storeAnswered || nowMillis >= startedAtMillis + STORE_WAIT_MILLIS;
+        return !waits || hostDone && storeDone;
     }
 }
--- a/guavathread-core/src/test/java/org/guavathread/core/publish/StartSynchronisationTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/publish/StartSynchronisationTest.java
@@ -9,14 +9,15 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against a host that starts with what an older copy of the store says, and against one that waits for nobody. */
+/** Guards against a host that starts with an outdated state of the store or of another host, or waits for nobody. */
 class StartSynchronisationTest {
 
     private static final SocketAddressText OWN = new SocketAddressText("10.0.0.1", 7_500);
     private static final SocketAddressText SEED = new SocketAddressText("10.0.0.2", 7_500);
     private static final SocketAddressText OTHER = new SocketAddressText("10.0.0.3", 7_500);
+    private static final long START_MILLIS = 1_000;
 
-    private final StartSynchronisation start = new StartSynchronisation(OWN, 1_400);
+    private final StartSynchronisation start = new StartSynchronisation(OWN, false, START_MILLIS);
 
     @Test
     void eachHostButThisOneIsAskedOnce() {
@@ -25,16 +26,29 @@
     }
 
     @Test
-    void storeIsReadOnceAHostHasAnswered() {
-        assertFalse(start.isDone(1_000));
-        start.answered();
-        assertTrue(start.isDone(1_000));
+    void theStoreAloneIsNotEnough() {
+        start.storeAnswered();
+        assertFalse(start.isDone(START_MILLIS));
+        start.hostAnswered();
+        assertTrue(start.isDone(START_MILLIS));
+    }
+
+    @Test
+    void anotherHostAloneIsNotEnough() {
+        start.hostAnswered();
+        assertFalse(start.isDone(START_MILLIS + StartSynchronisation.STORE_WAIT_MILLIS - 1));
+        assertTrue(start.isDone(START_MILLIS + StartSynchronisation.STORE_WAIT_MILLIS), "the store may be away");
     }
 
     @Test
     void hostWhoseSeedsAreDownGoesOnAlone() {
-        start.next(List.of(SEED));
-        assertFalse(start.isDone(1_399));
-        assertTrue(start.isDone(1_400));
+        start.storeAnswered();
+        assertFalse(start.isDone(START_MILLIS + StartSynchronisation.HOST_WAIT_MILLIS - 1));
+        assertTrue(start.isDone(START_MILLIS + StartSynchronisation.HOST_WAIT_MILLIS));
+    }
+
+    @Test
+    void theFirstStartOfAFleetWaitsForNobody() {
+        assertTrue(new StartSynchronisation(OWN, true, START_MILLIS).isDone(START_MILLIS));
     }
 }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -151,7 +151,7 @@
                 platform.storeClient(context.client(), settings),
                 fleet,
                 new StoreFollower(settings.applyMillis()),
-                startSynchronisation(),
+                new StartSynchronisation(settings.listenPeers(), settings.isFirstStart(), startedAtMillis),
                 this::step);
         this.roleCoordinator =
                 new RoleCoordinator(settings.hostId(), context, fleet, new RolePlan(settings.prefillShare()));
@@ -193,11 +193,6 @@
                 random.split());
     }
 
-    private StartSynchronisation startSynchronisation() {
-        long waitMillis = settings.isFirstStart() ? 0 : StartSynchronisation.MAX_WAIT_MILLIS;
-        return new StartSynchronisation(settings.listenPeers(), startedAtMillis + waitMillis);
-    }
-
     private CallerServer addServers(Platform platform) {
         PauseDetector pauses = supervisor.add(new PauseDetector(clock));
         RequestIds ids = new RequestIds(settings.hostId(), new Incarnation(startedAtMillis));
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateRelay.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateRelay.java
@@ -86,16 +86,25 @@
     }
 
     /**
-     * Applies a snapshot.
+     * Decodes a snapshot.
      *
      * @param bytes the encoded snapshot
+     * @return the snapshot
+     * @throws CodecException if the bytes are no snapshot
+     */
+    public StateSnapshot decode(byte[] bytes) {
+        return (StateSnapshot) codec.decode(bytes).message();
+    }
+
+    /**
+     * Applies a snapshot.
+     *
+     * @param snapshot the snapshot
      * @param state the state of this host
      * @param nowMillis the current time
      * @return what changed
-     * @throws CodecException if the snapshot cannot be decoded
      */
-    public List<StateChange> apply(byte[] bytes, PublishedState state, long nowMillis) {
-        StateSnapshot snapshot = (StateSnapshot) codec.decode(bytes).message();
+    public List<StateChange> apply(StateSnapshot snapshot, PublishedState state, long nowMillis) {
         List<StateChange> changes = new ArrayList<>(state.applyDepartures(snapshot.departed(), nowMillis));
         snapshot.items()
                 .map(items -> items.stream().map(StateRelay::decode).toList())
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
@@ -1,5 +1,6 @@
 package org.guavathread.gateway.fleet;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -9,6 +10,7 @@
 import org.guavathread.core.publish.PublishedState;
 import org.guavathread.core.publish.StartSynchronisation;
 import org.guavathread.core.publish.StateChange;
+import org.guavathread.core.publish.StateSnapshot;
 import org.guavathread.core.publish.StoreFollower;
 import org.guavathread.core.publish.StorePosition;
 import org.guavathread.core.sheet.SocketAddressText;
@@ -30,6 +32,8 @@
     private final StoreFollower follower;
     private final StartSynchronisation start;
     private final StateRelay relay = new StateRelay();
+    private final List<Runnable> heldUntilStarted = new ArrayList<>();
+    private boolean storeAsked;
 
     /**
      * Creates the synchroniser.
@@ -62,9 +66,15 @@
         handleChanges(context.state().expire(now), "end of a grace period");
         if (!start.isDone(now)) {
             start.next(fleet.stateSources(now)).forEach(this::requestState);
+            if (!storeAsked) {
+                callStore(now);
+            }
             return;
         }
-        follower.next(now).ifPresent(this::call);
+        List<Runnable> held = List.copyOf(heldUntilStarted);
+        heldUntilStarted.clear();
+        held.forEach(Runnable::run);
+        callStore(now);
         PublishedState state = context.state();
         Optional<HostReport> ahead = fleet.mostRecentState(state.position(), state.version(), now);
         follower.nextPeer(ahead, state.position(), now)
@@ -72,6 +82,20 @@
                         .thenRun(() -> follower.peerAnswered(context.loop().nowMillis())));
     }
 
+    private void callStore(long nowMillis) {
+        storeAsked = true;
+        follower.next(nowMillis).ifPresent(this::call);
+    }
+
+    /** Applies a part of the published state; while this host starts, it waits for what others say. */
+    private void applyOnceStarted(Runnable application) {
+        if (start.isDone(context.loop().nowMillis())) {
+            application.run();
+        } else {
+            heldUntilStarted.add(application);
+        }
+    }
+
     private void call(StoreFollower.Call call) {
         long now = context.loop().nowMillis();
         switch (call) {
@@ -99,13 +123,18 @@
         long now = context.loop().nowMillis();
         storeAnswered(false, now);
         logPosition("listed", reply.position());
+        applyOnceStarted(() -> applyListing(reply));
+        step();
+    }
+
+    private void applyListing(StoreClient.Reply reply) {
+        long now = context.loop().nowMillis();
         StorePosition before = context.state().position();
         handleChanges(context.state().applyListing(reply.items(), reply.position(), now), "store listing");
         if (reply.position().epoch() > before.epoch() && !before.equals(StorePosition.START)) {
             // This host may have been away while servers left that the copy still lists.
             fleet.anyServingHost(now).ifPresent(peer -> requestState(peer.peers()));
         }
-        step();
     }
 
     private void watched(StorePosition from, StoreClient.Reply reply, Throwable failure) {
@@ -140,6 +169,7 @@
     }
 
     private void storeAnswered(boolean hasChanges, long nowMillis) {
+        start.storeAnswered();
         if (follower.answered(hasChanges, nowMillis)) {
             context.state().registry().sourceRecovered(nowMillis);
             context.log()
@@ -153,6 +183,7 @@
     }
 
     private void storeFailed(Throwable failure) {
+        start.storeAnswered();
         boolean first =
                 follower.failed(context.loop().nowMillis(), context.random().nextDouble());
         if (first) {
@@ -192,14 +223,15 @@
             return;
         }
         try {
-            handleChanges(
-                    relay.apply(answer.body(), context.state(), context.loop().nowMillis()), "host " + peer);
+            StateSnapshot snapshot = relay.decode(answer.body());
+            if (snapshot.configuration().isPresent()) {
+                start.hostAnswered();
+            }
+            applyOnceStarted(() -> handleChanges(
+                    relay.apply(snapshot, context.state(), context.loop().nowMillis()), "host " + peer));
         } catch (CodecException e) {
             Logger.warn("The published state from host {} cannot be decoded: {}.", peer, e.getMessage());
         }
-        if (context.state().version() > 0) {
-            start.answered();
-        }
     }
 
     private void handleChanges(List<StateChange> changes, String source) {
