See a host again that restarts after its time of day was set back

What could happen: hosts order the reports of one host by the start time of its process. One that started while its time of day was ahead, and again after it was set back, was ignored by all others for a minute: its load, its use of workspaces and its configuration did not count, and callers were not sent there.

A report of an earlier start is now taken once nothing has been heard of the later process for the failure detection timeout. The second check of the same number in SharedTokenLimits, to which only reports come that FleetView took, is gone; a total of another process is not debited, as before.

hostThatRestartsAfterItsTimeOfDayWasSetBackIsSeenAgain failed before.

--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
@@ -152,7 +152,7 @@
             return false;
         }
         Member member = members.get(report.host());
-        if (member != null && !report.isNewerThan(member.report())) {
+        if (member != null && !report.isNewerThan(member.report()) && !replacesSilent(report, member, nowMillis)) {
             return false;
         }
         if (member != null && member.report().incarnation() == report.incarnation()) {
@@ -165,6 +165,15 @@
         return true;
     }
 
+    /**
+     * Tells whether a report comes from a later process in spite of its earlier start time: the time of day may have been
+     * set back before that process started. Reports of an ended process are not forwarded for as long.
+     */
+    private boolean replacesSilent(HostReport report, Member member, long nowMillis) {
+        return report.incarnation() < member.report().incarnation()
+                && nowMillis - member.lastSeenMillis() > reachTimeoutMillis();
+    }
+
     /**
      * Applies a heartbeat. One of an unknown host or process does not identify it, but the sender has its report.
      *
--- a/guavathread-core/src/main/java/org/guavathread/core/share/SharedTokenLimits.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/share/SharedTokenLimits.java
@@ -112,9 +112,6 @@
     public double applyTotal(HostId host, long incarnation, WorkspaceId workspace, double total) {
         Map<HostId, ReportedTotal> totals = reported.computeIfAbsent(workspace, id -> new HashMap<>());
         ReportedTotal previous = totals.get(host);
-        if (previous != null && previous.incarnation() > incarnation) {
-            return 0;
-        }
         boolean sameProcess = previous != null && previous.incarnation() == incarnation;
         // The first report of a process may cover a long time, so its total is not debited from the current budget.
         double delta = sameProcess ? total - previous.units() : 0;
--- a/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
@@ -265,6 +265,20 @@
         assertTrue(view.mostRecentState(new StorePosition(2, 10), 9, 200).isEmpty());
     }
 
+    @Test
+    void hostThatRestartsAfterItsTimeOfDayWasSetBackIsSeenAgain() {
+        FleetView view = new FleetView(new HostId("h1"), 0, List.of(), new SplittableRandom(1));
+        Fleet fleet = new Fleet();
+        fleet.start(2, List.of(), 5_000);
+        HostReport ended = fleet.report(address(2), 100);
+        view.apply(ended, 100);
+        fleet.start(2, List.of(), 3_000);
+        assertFalse(view.apply(fleet.report(address(2), 200), 200), "the later process may still be running");
+        long restartedMillis = 200 + FleetView.REACH_TIMEOUT_MILLIS;
+        assertTrue(view.apply(fleet.report(address(2), restartedMillis), restartedMillis));
+        assertEquals(1, view.reachableHosts(restartedMillis).size());
+    }
+
     @Test
     void reportedQueueRanksExpireSoon() {
         FleetView view = new FleetView(new HostId("h1"), 0, List.of(), new SplittableRandom(1));
