Keep an outage of a host whose store was replaced while it could not reach it

A host that is turned away by the store hears of the new epoch from another host. The fault came with the grace period of a new epoch and was found in review; replacedSourceDoesNotEndAnOutage fails on the code before.

--- a/guavathread-core/src/main/java/org/guavathread/core/registry/WorkerRegistry.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/registry/WorkerRegistry.java
@@ -73,7 +73,6 @@
      * @param nowMillis the current time
      */
     public void sourceReplaced(long nowMillis) {
-        outage = false;
         outageEndedAtMillis = nowMillis;
     }
 
--- a/guavathread-core/src/test/java/org/guavathread/core/registry/WorkerRegistryTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/registry/WorkerRegistryTest.java
@@ -71,6 +71,16 @@
         assertEquals(List.of("a"), usable());
     }
 
+    @Test
+    void replacedSourceDoesNotEndAnOutage() {
+        registry.put(worker("a", false));
+        registry.sourceUnreachable();
+        registry.sourceReplaced(100_000);
+        registry.remove(new BackendServerId("a"), 200_000);
+        registry.expire(200_000);
+        assertEquals(List.of("a"), usable());
+    }
+
     @Test
     void drainingServerThatIsRemovedInAnOutageIsNotUsable() {
         registry.put(worker("a", true));
