Ask the store without waiting after a failure

What callers would see: if the copy, and what is written again, end at or just below the revision that a host had applied, its watch was not refused. It waited for the next change, up to 4 s, or 5 s on a connection that the store's absence left hanging, and the changes up to that revision were not in force.

Cause: only an answer tells the store's epoch, and the first call after an outage was a long poll. It is a probe now, answered at once and given up after 1 s, so that the end of an outage is noticed within one backoff; the long poll follows. A silent store costs a call in 1.0 to 2.2 s a host instead of one in 5 s.

--- a/guavathread-core/src/main/java/org/guavathread/core/publish/StoreFollower.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/StoreFollower.java
@@ -16,6 +16,9 @@
     /** Timeout of a listing: a slow store takes 200 ms, 50 times its usual 4 ms. */
     public static final long LISTING_TIMEOUT_MILLIS = 1_500;
 
+    /** Timeout of a probe. */
+    public static final long PROBE_TIMEOUT_MILLIS = 1_000;
+
     /** Time beyond the long-polling time after which a watch times out. */
     public static final long WATCH_SLACK_MILLIS = 1_000;
 
@@ -40,7 +43,12 @@
         /** List all items. */
         LISTING,
         /** Wait for changes after the applied revision. */
-        WATCH
+        WATCH,
+        /**
+         * Ask for changes without waiting, after a failure. Tells whether the store answers again, and in which epoch: a
+         * watch would not be answered before the next change if the store has come back with the applied revision.
+         */
+        PROBE
     }
 
     private final long debounceMillis;
@@ -73,7 +81,10 @@
             return Optional.empty();
         }
         callRunning = true;
-        return Optional.of(listed ? Call.WATCH : Call.LISTING);
+        if (!listed) {
+            return Optional.of(Call.LISTING);
+        }
+        return Optional.of(failures > 0 ? Call.PROBE : Call.WATCH);
     }
 
     /**
--- a/guavathread-core/src/test/java/org/guavathread/core/publish/StoreFollowerTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/publish/StoreFollowerTest.java
@@ -89,6 +89,18 @@
         assertTrue(listings <= 8, listings + " listings in 4 s");
     }
 
+    @Test
+    void theFirstCallAfterAFailureDoesNotWaitForAChange() {
+        StoreFollower follower = listed();
+        assertEquals(Optional.of(Call.WATCH), follower.next(10));
+        follower.failed(20, 0.5);
+        assertEquals(Optional.of(Call.PROBE), follower.next(1_000));
+        follower.failed(2_000, 0.5);
+        assertEquals(Optional.of(Call.PROBE), follower.next(3_000));
+        follower.answered(false, 3_005);
+        assertEquals(Optional.of(Call.WATCH), follower.next(3_005));
+    }
+
     @Test
     void aHostThatLagsBehindAsksAnotherWithinTheTimeLimit() {
         StoreFollower follower = listed();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
@@ -24,6 +24,7 @@
 public final class StateSynchroniser {
 
     private static final int STATUS_OK = 200;
+    private static final long SHORTEST_WAIT_MILLIS = 1;
 
     private final GatewayContext context;
     private final StoreClient store;
@@ -102,16 +103,16 @@
             case LISTING ->
                 store.list(now + StoreFollower.LISTING_TIMEOUT_MILLIS)
                         .whenComplete((reply, failure) -> context.loop().execute(() -> listed(reply, failure)));
-            case WATCH -> watch(context.state().position(), now);
+            case WATCH ->
+                watch(StoreFollower.WATCH_MILLIS, now + StoreFollower.WATCH_MILLIS + StoreFollower.WATCH_SLACK_MILLIS);
+            case PROBE -> watch(SHORTEST_WAIT_MILLIS, now + StoreFollower.PROBE_TIMEOUT_MILLIS);
             default -> throw new IllegalStateException("Unknown store call " + call + ".");
         }
     }
 
-    private void watch(StorePosition from, long nowMillis) {
-        store.watch(
-                        from.revision(),
-                        StoreFollower.WATCH_MILLIS,
-                        nowMillis + StoreFollower.WATCH_MILLIS + StoreFollower.WATCH_SLACK_MILLIS)
+    private void watch(long waitMillis, long deadlineMillis) {
+        StorePosition from = context.state().position();
+        store.watch(from.revision(), waitMillis, deadlineMillis)
                 .whenComplete((reply, failure) -> context.loop().execute(() -> watched(from, reply, failure)));
     }
 
