Name two methods of the published state by what they do

withheldAsOutdated changes the registry, which a name with "is" hid; applyLaterConfiguration says which configuration it takes. No behaviour is changed.

--- a/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
@@ -90,12 +90,12 @@
     }
 
     /**
-     * Applies the configuration that is in force at another host, whatever the store says.
+     * Applies the configuration that is in force at another host if it is later than this host's, whatever the store says.
      *
      * @param item the configuration's item
      * @return what changed
      */
-    public List<StateChange> applyConfigurationOf(StoreItem item) {
+    public List<StateChange> applyLaterConfiguration(StoreItem item) {
         List<StateChange> changes = new ArrayList<>();
         applyConfiguration(item, changes);
         return changes;
@@ -228,7 +228,7 @@
     private void applyEntry(Worker worker, StoreItem item, long nowMillis, List<StateChange> changes) {
         BackendServerId id = worker.id();
         Optional<Worker> previous = registry.find(id);
-        if (isWithheld(worker, previous, item, nowMillis)) {
+        if (withheldAsOutdated(worker, previous, item, nowMillis)) {
             changes.add(change("server", id.value(), "withheld, listed by an older copy of the store", item));
             return;
         }
@@ -246,8 +246,8 @@
         }
     }
 
-    /** Withholds a server of which this host knows more than the listed entry says. */
-    private boolean isWithheld(Worker worker, Optional<Worker> previous, StoreItem item, long nowMillis) {
+    /** Withholds a server of which this host knows more than its entry says; returns whether it did. */
+    private boolean withheldAsOutdated(Worker worker, Optional<Worker> previous, StoreItem item, long nowMillis) {
         boolean mayBeOutdated = nowMillis < outdatedUntilMillis;
         if (!worker.draining() && departed.hasLeft(worker, position.epoch(), false)) {
             registry.put(worker.leaving());
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateRelay.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateRelay.java
@@ -111,7 +111,7 @@
                 .ifPresent(items -> changes.addAll(state.applyListing(items, snapshot.position(), nowMillis)));
         snapshot.configuration()
                 .map(StateRelay::decode)
-                .ifPresent(item -> changes.addAll(state.applyConfigurationOf(item)));
+                .ifPresent(item -> changes.addAll(state.applyLaterConfiguration(item)));
         return changes;
     }
 
