--- a/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
@@ -241,7 +241,7 @@
         if (!previous.equals(Optional.of(worker))) {
             String outcome = (worker.draining() ? "draining" : "usable") + " as "
                     + worker.stage().name().toLowerCase(java.util.Locale.ROOT) + " of " + worker.service() + " at "
-                    + worker.address();
+                    + worker.address() + ", version " + worker.softwareVersion();
             changes.add(change("server", id.value(), outcome, item));
         }
     }
--- a/guavathread-core/src/main/java/org/guavathread/core/registry/Worker.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/registry/Worker.java
@@ -15,6 +15,7 @@
  * @param slots maximum number of concurrent requests
  * @param draining whether it announced its shutdown
  * @param stage stage of a language request that it executes
+ * @param softwareVersion version of its software
  * @param startedAtMillis start time of its process, in milliseconds since the epoch by its own clock; 0 if not given
  */
 public record Worker(
@@ -25,6 +26,7 @@
         int slots,
         boolean draining,
         EngineStage stage,
+        SoftwareVersion softwareVersion,
         long startedAtMillis) {
 
     /**
@@ -33,6 +35,6 @@
      * @return the copy
      */
     public Worker leaving() {
-        return new Worker(id, service, address, dataCentre, slots, true, stage, startedAtMillis);
+        return new Worker(id, service, address, dataCentre, slots, true, stage, softwareVersion, startedAtMillis);
     }
 }
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/CrashSuspectsTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/CrashSuspectsTest.java
@@ -6,6 +6,7 @@
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.registry.EngineStage;
+import org.guavathread.core.registry.SoftwareVersion;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.sheet.SocketAddressText;
@@ -33,6 +34,7 @@
                 8,
                 false,
                 EngineStage.DECODE,
+                new SoftwareVersion("v1"),
                 1);
     }
 
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/CrashingPartLoadTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/CrashingPartLoadTest.java
@@ -9,6 +9,7 @@
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.registry.EngineStage;
+import org.guavathread.core.registry.SoftwareVersion;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.sheet.SocketAddressText;
@@ -71,6 +72,7 @@
                 8,
                 false,
                 EngineStage.DECODE,
+                new SoftwareVersion("v1"),
                 1);
     }
 
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/DispatchTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/DispatchTest.java
@@ -13,6 +13,7 @@
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.registry.EngineStage;
+import org.guavathread.core.registry.SoftwareVersion;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.share.FairShareTracker;
@@ -45,6 +46,7 @@
                 6,
                 false,
                 stage,
+                new SoftwareVersion("v1"),
                 0);
     }
 
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/EngineMemoryLoadTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/EngineMemoryLoadTest.java
@@ -15,6 +15,7 @@
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.registry.EngineStage;
+import org.guavathread.core.registry.SoftwareVersion;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.sheet.SocketAddressText;
@@ -101,6 +102,7 @@
                     16,
                     false,
                     EngineStage.DECODE,
+                    new SoftwareVersion("v1"),
                     0));
             running.put(engines.get(i).id(), new ArrayDeque<>());
         }
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/RolePlanTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/RolePlanTest.java
@@ -7,6 +7,7 @@
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.registry.EngineStage;
+import org.guavathread.core.registry.SoftwareVersion;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.sheet.SocketAddressText;
@@ -31,6 +32,7 @@
                     64,
                     false,
                     i < prefill ? EngineStage.PREFILL : EngineStage.DECODE,
+                    new SoftwareVersion("v1"),
                     0));
         }
         return engines;
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/StatedLimitLoadTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/StatedLimitLoadTest.java
@@ -13,6 +13,7 @@
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.registry.EngineStage;
+import org.guavathread.core.registry.SoftwareVersion;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.sheet.SocketAddressText;
@@ -54,6 +55,7 @@
             8,
             false,
             EngineStage.DECODE,
+            new SoftwareVersion("v1"),
             1);
 
     private final ServerLimits limits = new ServerLimits(new HostId("h1"));
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/TroubledPoolLoadTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/TroubledPoolLoadTest.java
@@ -12,6 +12,7 @@
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.registry.EngineStage;
+import org.guavathread.core.registry.SoftwareVersion;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.sheet.SocketAddressText;
@@ -77,6 +78,7 @@
                     16,
                     false,
                     EngineStage.DECODE,
+                    new SoftwareVersion("v1"),
                     0));
         }
         for (int i = 0; i < hostCount; i++) {
@@ -193,6 +195,7 @@
                     16,
                     false,
                     EngineStage.NONE,
+                    new SoftwareVersion("v1"),
                     0));
             if (i < 3) {
                 reported.add(id);
--- a/guavathread-core/src/test/java/org/guavathread/core/publish/PublishedStateTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/publish/PublishedStateTest.java
@@ -7,6 +7,7 @@
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.registry.EngineStage;
+import org.guavathread.core.registry.SoftwareVersion;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.registry.WorkerRegistry;
 import org.guavathread.core.routing.RoutingTable;
@@ -61,6 +62,7 @@
                     6,
                     "draining".equals(words[0]),
                     EngineStage.NONE,
+                    new SoftwareVersion("v1"),
                     words.length > 1 ? Long.parseLong(words[1]) : 0);
         }
 
--- a/guavathread-core/src/test/java/org/guavathread/core/registry/WorkerRegistryTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/registry/WorkerRegistryTest.java
@@ -28,6 +28,7 @@
                 6,
                 draining,
                 EngineStage.NONE,
+                new SoftwareVersion("v1"),
                 1);
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
@@ -243,6 +243,8 @@
                 .with("revision", context.state().position().revision())
                 .with("deadlineInMillis", deadlineMillis - now)
                 .with("crashTest", isCrashTest)
+                .with("resumes", request.resumedAttemptId().orElse("none"))
+                .with("resumeAfter", request.lastEventId().orElse("none"))
                 .write();
         start(admitted, table);
     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -206,7 +206,9 @@
         boolean separatePrefill = plan.prefill().isPresent() && !prefillTried && !hasRun();
         log("place")
                 .with("decode", decode.id())
+                .with("decodeVersion", decode.softwareVersion())
                 .with("prefill", separatePrefill ? plan.prefill().get().id() : "none")
+                .with("prefillVersion", separatePrefill ? plan.prefill().get().softwareVersion() : "none")
                 .with("expectedMillis", Math.round(plan.expectedMillis()))
                 .with("promptTokens", work.promptTokens())
                 .with("heldTokens", context.loads().heldTokens(decode.id()))
@@ -388,6 +390,7 @@
         Optional<EngineReservation> reserved = resources.takeReservation(worker);
         log("send")
                 .with("server", worker.id())
+                .with("serverVersion", worker.softwareVersion())
                 .with("promptFrom", usable.map(p -> p.engine().id().value()).orElse("itself"))
                 .with("reserved", reserved.isPresent())
                 .with("resumeAfter", lastEventId.orElse("none"))
@@ -516,7 +519,11 @@
         firstEventAtMillis = now();
         long millis = firstEventAtMillis - exchange().arrivedAtMillis();
         context.metrics().firstByte(admitted.rule().kind(), millis);
-        log("first").with("server", run.worker().id()).with("millis", millis).write();
+        log("first")
+                .with("server", run.worker().id())
+                .with("serverVersion", run.worker().softwareVersion())
+                .with("millis", millis)
+                .write();
         return true;
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/CallerRequest.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/CallerRequest.java
@@ -22,6 +22,7 @@
  * @param work size of a language request
  * @param promptParts parts of its prompt in their order; empty if the caller does not state them
  * @param lastEventId id of the last event that the caller received of an interrupted answer
+ * @param resumedAttemptId id of the attempt that brought the first event of that answer
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record CallerRequest(
@@ -36,4 +37,5 @@
         Optional<String> apiKey,
         Optional<EngineWork> work,
         List<PromptPart> promptParts,
-        Optional<String> lastEventId) {}
+        Optional<String> lastEventId,
+        Optional<String> resumedAttemptId) {}
