Let a stream go on only at the software version that began it

Cause: nothing compared versions. A host that resumed a broken stream, and any host to which a caller returned, took whichever engine had room; a KV cache went from engines of one version to those of another. The class of fault: an answer that outlives its request was continued by state that no host kept. Ruled out by the logs: an engine replaced behind its address.

Now the version of the first event restricts the engines of the call (EngineSelection), prompts are read at the version that generates (EngineDispatch), and a host tells three others at which version a stream began (OriginDirectory, StreamOrigins). A take-up of which nothing is known, or whose version has no server left, is refused as not run at once.

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/EngineDispatch.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/EngineDispatch.java
@@ -9,6 +9,7 @@
 import java.util.random.RandomGenerator;
 
 import org.guavathread.core.id.BackendServerId;
+import org.guavathread.core.registry.SoftwareVersion;
 import org.guavathread.core.registry.Worker;
 
 /**
@@ -137,7 +138,30 @@
         List<Worker> prefillEngines = servers.stream()
                 .filter(w -> w.stage().prefillsForOthers() && !health.isAvoided(w.id(), nowMillis))
                 .toList();
-        if (prefillEngines.isEmpty() || work.isResumed()) {
+        if (work.isResumed()) {
+            return Optional.empty();
+        }
+        // A KV cache fits only engines of the software version that wrote it.
+        return decodeEngines.stream()
+                .map(Worker::softwareVersion)
+                .distinct()
+                .flatMap(
+                        version -> disaggregatedPlan(
+                                ofVersion(prefillEngines, version),
+                                ofVersion(decodeEngines, version),
+                                work,
+                                memoryTokens)
+                                .stream())
+                .min(Comparator.comparingDouble(EnginePlan::expectedMillis));
+    }
+
+    private static List<Worker> ofVersion(List<Worker> engines, SoftwareVersion version) {
+        return engines.stream().filter(w -> w.softwareVersion().equals(version)).toList();
+    }
+
+    private Optional<EnginePlan> disaggregatedPlan(
+            List<Worker> prefillEngines, List<Worker> decodeEngines, EngineWork work, int memoryTokens) {
+        if (prefillEngines.isEmpty()) {
             return Optional.empty();
         }
         ScoredWorker prefill = cheapest(
--- a/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
@@ -11,6 +11,7 @@
 
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.registry.DepartedServers;
+import org.guavathread.core.registry.VersionHistory;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.registry.WorkerRegistry;
 import org.guavathread.core.routing.RoutingTable;
@@ -22,6 +23,9 @@
  */
 public final class PublishedState {
 
+    /** Maximum difference between the clocks of a host and a server, in milliseconds. */
+    private static final long MAX_CLOCK_DIFFERENCE_MILLIS = 2_000;
+
     private final ItemDecoder decoder;
     private final long silenceMillis;
     private final WorkerRegistry registry = new WorkerRegistry();
@@ -65,6 +69,7 @@
             beginEpoch(nowMillis);
         }
         position = at;
+        registry.listed(nowMillis);
         List<StateChange> changes = new ArrayList<>();
         Set<String> present = new HashSet<>();
         for (StoreItem item : listing) {
@@ -165,6 +170,49 @@
         return changes;
     }
 
+    /**
+     * Adds what the store remembers of the time before this host watched it to the record of software versions.
+     *
+     * @param events the oldest events that the store has, and all later ones
+     * @param after the revision after which they begin
+     * @param historyMillis for how long the store remembers events
+     * @param nowMillis the current time
+     * @return true if the events tell all versions of that time
+     */
+    public boolean applyHistory(List<StoreItem> events, long after, long historyMillis, long nowMillis) {
+        Set<BackendServerId> known = new HashSet<>();
+        List<VersionHistory.ServiceVersion> versions = new ArrayList<>();
+        for (StoreItem event : events) {
+            Optional<BackendServerId> id = decoder.serverOf(event.key());
+            if (id.isPresent() && event.isDeleted() && !known.contains(id.get())) {
+                return false;
+            }
+            if (id.isPresent() && !event.isDeleted()) {
+                known.add(id.get());
+                versionOf(id.get(), event).ifPresent(versions::add);
+            }
+        }
+        // The store may drop events sooner: a server that registered in that time must be among them.
+        long registeredSinceMillis = nowMillis - historyMillis + MAX_CLOCK_DIFFERENCE_MILLIS;
+        boolean isCut = items.values().stream()
+                .filter(item -> item.revision() <= after)
+                .map(item -> decoder.serverOf(item.key()).flatMap(registry::find))
+                .anyMatch(worker -> worker.isPresent() && worker.get().startedAtMillis() > registeredSinceMillis);
+        if (!isCut) {
+            registry.versions().extend(versions, nowMillis - historyMillis, nowMillis);
+        }
+        return !isCut;
+    }
+
+    private Optional<VersionHistory.ServiceVersion> versionOf(BackendServerId id, StoreItem event) {
+        try {
+            return Optional.of(VersionHistory.ServiceVersion.of(decoder.server(id, event.value())));
+        } catch (IllegalArgumentException e) {
+            // An unreadable entry names no server, so nothing was sent there.
+            return Optional.empty();
+        }
+    }
+
     private void apply(StoreItem item, long nowMillis, List<StateChange> changes) {
         StoreItem previous = items.get(item.key());
         if (previous != null && previous.revision() >= item.revision() && !item.isDeleted()) {
@@ -220,7 +268,7 @@
             applyEntry(decoder.server(id, item.value()), item, nowMillis, changes);
         } catch (IllegalArgumentException e) {
             unreadable++;
-            registry.withdraw(id);
+            registry.withdraw(id, nowMillis);
             changes.add(change("server", id.value(), "unreadable: " + e.getMessage(), item));
         }
     }
@@ -237,7 +285,7 @@
         } else {
             departed.returned(id);
         }
-        registry.put(worker);
+        registry.put(worker, nowMillis);
         if (!previous.equals(Optional.of(worker))) {
             String outcome = (worker.draining() ? "draining" : "usable") + " as "
                     + worker.stage().name().toLowerCase(java.util.Locale.ROOT) + " of " + worker.service() + " at "
@@ -250,11 +298,11 @@
     private boolean withheldAsOutdated(Worker worker, Optional<Worker> previous, StoreItem item, long nowMillis) {
         boolean mayBeOutdated = nowMillis < outdatedUntilMillis;
         if (!worker.draining() && departed.hasLeft(worker, position.epoch(), false)) {
-            registry.put(worker.leaving());
+            registry.put(worker.leaving(), nowMillis);
             return true;
         }
         if (!worker.draining() && departed.hasLeft(worker, position.epoch(), mayBeOutdated)) {
-            registry.withdraw(worker.id());
+            registry.withdraw(worker.id(), nowMillis);
             withheld.put(worker.id(), item);
             return true;
         }
--- a/guavathread-core/src/main/java/org/guavathread/core/registry/WorkerRegistry.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/registry/WorkerRegistry.java
@@ -23,6 +23,7 @@
 
     private final Map<BackendServerId, Worker> registered = new HashMap<>();
     private final Map<BackendServerId, Worker> lapsed = new HashMap<>();
+    private final VersionHistory versions = new VersionHistory();
     private long outageEndedAtMillis = -GRACE_PERIOD_MILLIS;
     private boolean outage;
 
@@ -30,10 +31,17 @@
      * Adds a server, or replaces its entry.
      *
      * @param worker the server
+     * @param nowMillis the current time
      */
-    public void put(Worker worker) {
-        registered.put(worker.id(), worker);
-        lapsed.remove(worker.id());
+    public void put(Worker worker, long nowMillis) {
+        recordDeparture(registered.put(worker.id(), worker), nowMillis);
+        recordDeparture(lapsed.remove(worker.id()), nowMillis);
+    }
+
+    private void recordDeparture(Worker previous, long nowMillis) {
+        if (previous != null) {
+            versions.departed(previous, nowMillis);
+        }
     }
 
     /**
@@ -52,6 +60,7 @@
             lapsed.put(id, worker);
             return false;
         }
+        versions.departed(worker, nowMillis);
         return true;
     }
 
@@ -60,10 +69,20 @@
      * no sign of missed heartbeats, so there is no grace period.
      *
      * @param id the server
+     * @param nowMillis the current time
      */
-    public void withdraw(BackendServerId id) {
-        registered.remove(id);
-        lapsed.remove(id);
+    public void withdraw(BackendServerId id, long nowMillis) {
+        recordDeparture(registered.remove(id), nowMillis);
+        recordDeparture(lapsed.remove(id), nowMillis);
+    }
+
+    /**
+     * Records that the entries were listed anew, so that servers may have come and gone since the previous state.
+     *
+     * @param nowMillis the current time
+     */
+    public void listed(long nowMillis) {
+        versions.interrupted(nowMillis);
     }
 
     /**
@@ -100,8 +119,10 @@
      */
     public void expire(long nowMillis) {
         if (!outage && nowMillis >= outageEndedAtMillis + GRACE_PERIOD_MILLIS) {
+            lapsed.values().forEach(worker -> versions.departed(worker, nowMillis));
             lapsed.clear();
         }
+        versions.expire(nowMillis);
     }
 
     /**
@@ -120,6 +141,33 @@
         return usable;
     }
 
+    /**
+     * Returns the software versions that servers of a service have had since a time.
+     *
+     * @param service the service
+     * @param sinceMillis the time
+     * @return the versions, or empty if there may be others that this registry has not seen
+     */
+    public Optional<Set<SoftwareVersion>> versionsSince(ServiceName service, long sinceMillis) {
+        if (outage || !versions.isCompleteSince(sinceMillis)) {
+            return Optional.empty();
+        }
+        Set<SoftwareVersion> seen = versions.departedSince(service, sinceMillis);
+        for (Collection<Worker> each : List.of(registered.values(), lapsed.values())) {
+            each.stream().filter(w -> w.service().equals(service)).forEach(w -> seen.add(w.softwareVersion()));
+        }
+        return Optional.of(seen);
+    }
+
+    /**
+     * Returns the record of versions of servers that have left.
+     *
+     * @return the record
+     */
+    public VersionHistory versions() {
+        return versions;
+    }
+
     /**
      * Finds a registered server, whether it accepts new requests or not.
      *
--- a/guavathread-core/src/main/java/org/guavathread/core/request/RefusalCode.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/request/RefusalCode.java
@@ -34,6 +34,10 @@
     CLAIMS_UNAVAILABLE(503),
     /** This request is suspected to crash backend servers. */
     CRASH_SUSPECT(503),
+    /** It is not known at which software version the stream began that the request resumes. */
+    ORIGIN_UNKNOWN(503),
+    /** No backend server of the software version is left that began the stream. */
+    VERSION_GONE(503),
     /** This host reaches neither the configuration service nor any peer. */
     ISOLATED(503),
     /** The backend server failed. */
@@ -61,6 +65,8 @@
                     NO_ROOM,
                     DRAINING,
                     CLAIMS_UNAVAILABLE,
+                    ORIGIN_UNKNOWN,
+                    VERSION_GONE,
                     ISOLATED,
                     BACKEND_FAILED,
                     OUTCOME_UNKNOWN,
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/DispatchTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/DispatchTest.java
@@ -38,6 +38,10 @@
     private final EngineDispatch engines = new EngineDispatch(loads, health, new SplittableRandom(2));
 
     private static Worker worker(String id, EngineStage stage) {
+        return worker(id, stage, "v1");
+    }
+
+    private static Worker worker(String id, EngineStage stage, String version) {
         return new Worker(
                 new BackendServerId(id),
                 new ServiceName("s"),
@@ -46,7 +50,7 @@
                 6,
                 false,
                 stage,
-                new SoftwareVersion("v1"),
+                new SoftwareVersion(version),
                 0);
     }
 
@@ -230,4 +234,25 @@
         assertTrue(accepted < 15, accepted + " requests are queued, though one is admitted every 300 ms");
         assertTrue(queue.drainMillis() >= 2_400);
     }
+
+    @Test
+    void promptIsReadAtTheVersionThatGenerates() {
+        List<Worker> mixed = List.of(
+                worker("read-old", EngineStage.PREFILL, "v1"),
+                worker("read-new", EngineStage.PREFILL, "v2"),
+                worker("gen-old", EngineStage.DECODE, "v1"),
+                worker("gen-new", EngineStage.DECODE, "v2"),
+                worker("gen-newest", EngineStage.DECODE, "v3"));
+        // Decode engines that are busy with prompts make a separate prefill worthwhile.
+        mixed.stream().filter(w -> w.stage().generates()).forEach(w -> loads.open(w.id(), 20_000, 2_000));
+        Set<String> pairs = new HashSet<>();
+        for (int i = 0; i < 100; i++) {
+            EnginePlan plan = engines.choose(mixed, Set.of(), WORK, MEMORY, TARGET_MILLIS, 0)
+                    .orElseThrow();
+            Worker prefill = plan.prefill().orElseThrow();
+            assertEquals(plan.decode().softwareVersion(), prefill.softwareVersion());
+            pairs.add(prefill.id() + " " + plan.decode().id());
+        }
+        assertEquals(Set.of("read-old gen-old", "read-new gen-new"), pairs);
+    }
 }
--- a/guavathread-core/src/test/java/org/guavathread/core/publish/PublishedStateTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/publish/PublishedStateTest.java
@@ -1,8 +1,11 @@
 package org.guavathread.core.publish;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.id.DataCentreId;
@@ -47,7 +50,7 @@
             return RoutingTable.builder(Long.parseLong(text(value))).build();
         }
 
-        /** Decodes the state of a server, and the start time of its process after a space. */
+        /** Decodes the state of a server, the start time of its process and its software version. */
         @Override
         public Worker server(BackendServerId id, byte[] value) {
             String[] words = text(value).split(" ");
@@ -62,7 +65,7 @@
                     6,
                     "draining".equals(words[0]),
                     EngineStage.NONE,
-                    new SoftwareVersion("v1"),
+                    new SoftwareVersion(words.length > 2 ? words[2] : "v1"),
                     words.length > 1 ? Long.parseLong(words[1]) : 0);
         }
 
@@ -274,4 +277,60 @@
         assertTrue(follower.answered(false, now), "the answer ends the outage");
         assertFalse(follower.isOutage());
     }
+
+    private Optional<Set<SoftwareVersion>> versionsSince(long sinceMillis) {
+        return state.registry().versionsSince(SERVICE, sinceMillis);
+    }
+
+    private static Optional<Set<SoftwareVersion>> versions(String... versions) {
+        return Optional.of(Arrays.stream(versions).map(SoftwareVersion::new).collect(Collectors.toSet()));
+    }
+
+    @Test
+    void versionOfAServerThatLeftOrChangedBelongsToItsTime() {
+        state.applyListing(List.of(item("s/a", 4, "ready 0 v1"), item("s/b", 5, "ready 0 v1")), at(5), 0);
+        state.applyEvents(List.of(item("s/a", 6, "ready 9 v2")), at(6), 10_000);
+        state.applyEvents(List.of(StoreItem.deleted("s/b", 7)), at(7), 20_000);
+        assertEquals(versions("v1", "v2"), versionsSince(20_000));
+        assertEquals(versions("v2"), versionsSince(20_001));
+    }
+
+    @Test
+    void versionsAreUnknownBeforeAListingAndWhileTheStoreIsAway() {
+        state.applyListing(List.of(item("s/a", 4, "ready 0 v1")), at(5), 10_000);
+        assertEquals(Optional.empty(), versionsSince(9_999));
+        assertEquals(versions("v1"), versionsSince(10_000));
+        state.registry().sourceUnreachable();
+        assertEquals(Optional.empty(), versionsSince(10_000));
+        state.registry().sourceRecovered(12_000);
+        assertEquals(versions("v1"), versionsSince(10_000));
+        state.applyListing(List.of(item("s/a", 4, "ready 0 v1")), at(9), 13_000);
+        assertEquals(Optional.empty(), versionsSince(12_000), "servers may have come and gone between two listings");
+    }
+
+    @Test
+    void historyOfTheStoreNamesVersionsOfTheTimeBeforeTheListing() {
+        state.applyListing(List.of(item("s/b", 5, "ready 0 v2")), at(9), 30_000);
+        List<StoreItem> history =
+                List.of(item("s/a", 6, "ready 0 v1"), item("s/odd", 7, "no server"), StoreItem.deleted("s/a", 8));
+        assertTrue(state.applyHistory(history, 5, 20_000, 30_000));
+        assertEquals(versions("v1", "v2"), versionsSince(10_000));
+        assertEquals(Optional.empty(), versionsSince(9_999));
+    }
+
+    @Test
+    void historyWithTheRemovalOfAnUnknownServerDoesNotNameAllVersions() {
+        state.applyListing(List.of(item("s/b", 5, "ready 0 v2")), at(9), 30_000);
+        assertFalse(state.applyHistory(List.of(StoreItem.deleted("s/a", 8)), 5, 20_000, 30_000));
+        assertEquals(Optional.empty(), versionsSince(29_999));
+    }
+
+    @Test
+    void historyThatLacksALateRegistrationIsNotTrusted() {
+        state.applyListing(List.of(item("s/b", 9, "ready 25000 v2")), at(9), 30_000);
+        assertFalse(state.applyHistory(List.of(), 9, 20_000, 30_000));
+        assertEquals(Optional.empty(), versionsSince(29_999));
+        assertTrue(state.applyHistory(List.of(item("s/b", 9, "ready 25000 v2")), 8, 20_000, 30_000));
+        assertEquals(versions("v2"), versionsSince(10_000));
+    }
 }
--- a/guavathread-core/src/test/java/org/guavathread/core/registry/WorkerRegistryTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/registry/WorkerRegistryTest.java
@@ -41,16 +41,16 @@
 
     @Test
     void drainingAndRemovedServersAreNotUsable() {
-        registry.put(worker("a", false));
-        registry.put(worker("b", true));
-        registry.put(worker("c", false));
+        registry.put(worker("a", false), 0);
+        registry.put(worker("b", true), 0);
+        registry.put(worker("c", false), 0);
         registry.remove(new BackendServerId("c"), 100_000);
         assertEquals(List.of("a"), usable());
     }
 
     @Test
     void serverThatLapsedInAnOutageStaysUsableForTheGracePeriod() {
-        registry.put(worker("a", false));
+        registry.put(worker("a", false), 0);
         registry.sourceUnreachable();
         registry.remove(new BackendServerId("a"), 100_000);
         assertEquals(List.of("a"), usable());
@@ -63,18 +63,18 @@
 
     @Test
     void serverThatRegistersAgainAfterAnOutageIsNotDuplicated() {
-        registry.put(worker("a", false));
+        registry.put(worker("a", false), 0);
         registry.sourceUnreachable();
         registry.sourceRecovered(100_000);
         registry.remove(new BackendServerId("a"), 100_500);
-        registry.put(worker("a", false));
+        registry.put(worker("a", false), 0);
         registry.expire(200_000);
         assertEquals(List.of("a"), usable());
     }
 
     @Test
     void replacedSourceDoesNotEndAnOutage() {
-        registry.put(worker("a", false));
+        registry.put(worker("a", false), 0);
         registry.sourceUnreachable();
         registry.sourceReplaced(100_000);
         registry.remove(new BackendServerId("a"), 200_000);
@@ -84,7 +84,7 @@
 
     @Test
     void drainingServerThatIsRemovedInAnOutageIsNotUsable() {
-        registry.put(worker("a", true));
+        registry.put(worker("a", true), 0);
         registry.sourceUnreachable();
         registry.remove(new BackendServerId("a"), 100_000);
         assertEquals(List.of(), usable());
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -24,6 +24,7 @@
 import org.guavathread.core.gossip.HostPhase;
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.id.Incarnation;
+import org.guavathread.core.message.PeerMessage;
 import org.guavathread.core.publish.PublishedState;
 import org.guavathread.core.publish.StartSynchronisation;
 import org.guavathread.core.publish.StoreFollower;
@@ -33,20 +34,25 @@
 import org.guavathread.core.share.SharedRetryBudget;
 import org.guavathread.core.share.SharedTokenLimits;
 import org.guavathread.core.sheet.SocketAddressText;
+import org.guavathread.core.stream.StreamOriginNotice;
 import org.guavathread.core.time.Clock;
 import org.guavathread.gateway.call.GatewayContext;
 import org.guavathread.gateway.call.RequestRouter;
 import org.guavathread.gateway.fleet.FleetRelay;
 import org.guavathread.gateway.fleet.GossipReporter;
 import org.guavathread.gateway.fleet.GossipSocket;
+import org.guavathread.gateway.fleet.OriginDirectory;
+import org.guavathread.gateway.fleet.OriginRelay;
 import org.guavathread.gateway.fleet.PermitClient;
 import org.guavathread.gateway.fleet.PermitRelay;
 import org.guavathread.gateway.fleet.RoleCoordinator;
+import org.guavathread.gateway.fleet.RunSurvey;
 import org.guavathread.gateway.fleet.StateRelay;
 import org.guavathread.gateway.fleet.StateSynchroniser;
 import org.guavathread.gateway.log.DecisionLog;
 import org.guavathread.gateway.log.GatewayMetrics;
 import org.guavathread.gateway.loop.EventLoop;
+import org.guavathread.gateway.protocol.StoreClient;
 import org.guavathread.gateway.settings.GatewaySettings;
 import org.guavathread.router.caller.CallerServer;
 import org.guavathread.router.caller.PauseDetector;
@@ -105,6 +111,7 @@
     private final FleetView fleet;
     private final EntryAnswers entry;
     private final GossipReporter reporter;
+    private final OriginDirectory origins;
     private final RequestRouter router;
     private final StateSynchroniser stateSynchroniser;
     private final RoleCoordinator roleCoordinator;
@@ -137,7 +144,7 @@
         this.fleet = new FleetView(settings.hostId(), startedAtMillis, settings.seeds(), random.split());
         this.entry = new EntryAnswers(settings.listenCallers());
         GossipSocket[] socket = new GossipSocket[1];
-        socket[0] = new GossipSocket(settings.listenPeers(), this::packetReceived);
+        socket[0] = new GossipSocket(settings.listenPeers(), this::messageReceived);
         GossipReporter.Identity identity = new GossipReporter.Identity(
                 settings.hostId(),
                 startedAtMillis,
@@ -145,10 +152,13 @@
                 settings.listenCallers(),
                 settings.listenPeers());
         this.reporter = new GossipReporter(identity, context, fleet, socket[0]);
-        this.router = new RequestRouter(context, reporter, new PermitClient(settings.hostId(), context, fleet));
+        StoreClient store = platform.storeClient(context.client(), settings);
+        this.origins = new OriginDirectory(context, fleet, socket[0], store, settings.storeHistoryMillis());
+        this.router =
+                new RequestRouter(context, reporter, new PermitClient(settings.hostId(), context, fleet), origins);
         this.stateSynchroniser = new StateSynchroniser(
                 context,
-                platform.storeClient(context.client(), settings),
+                store,
                 fleet,
                 new StoreFollower(settings.applyMillis()),
                 new StartSynchronisation(settings.listenPeers(), settings.isFirstStart(), startedAtMillis),
@@ -211,7 +221,9 @@
                         FleetRelay.PATH,
                         query -> page(reporter::encodeAllReports),
                         PermitRelay.PATH,
-                        this::permitPage)));
+                        this::permitPage,
+                        OriginRelay.PATH,
+                        this::originPage)));
         supervisor.add(new PageServer(
                 "metrics",
                 settings.listenMetrics(),
@@ -277,6 +289,17 @@
                 .encode(new PermitRelay.Grant(context.serverLimits().grant(server, perSecond, clock.nowMillis()))));
     }
 
+    private PageServer.Page originPage(PageServer.Query query) {
+        long attempt;
+        try {
+            attempt = OriginRelay.attemptOf(query);
+        } catch (NumberFormatException e) {
+            Logger.warn("A question for the origin of a stream cannot be read: {}.", e.getMessage());
+            return PageServer.Page.empty(400);
+        }
+        return page(() -> origins.answer(attempt));
+    }
+
     private PageServer.Page page(Supplier<byte[]> content) {
         byte[] bytes = callOnLoop(content, new byte[0]);
         return new PageServer.Page(bytes.length == 0 ? 503 : 200, "application/msgpack", bytes);
@@ -296,8 +319,14 @@
         }
     }
 
-    private void packetReceived(GossipPacket packet) {
-        context.loop().execute(() -> reporter.receive(packet));
+    private void messageReceived(PeerMessage message) {
+        context.loop().execute(() -> {
+            if (message instanceof GossipPacket packet) {
+                reporter.receive(packet);
+            } else if (message instanceof StreamOriginNotice notice) {
+                origins.receive(notice);
+            }
+        });
     }
 
     /**
@@ -342,6 +371,9 @@
         context.state().table().ifPresent(table -> callerBounds = table.bounds());
         if (reporter.phase() == HostPhase.STARTING && context.state().table().isPresent()) {
             reporter.phase(HostPhase.READY);
+            if (!settings.isFirstStart()) {
+                new RunSurvey(context, origins, reporter::decidesFor).start();
+            }
         }
         if (settings.prefillShare() >= 0) {
             roleCoordinator.step(reporter.phase());
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineResources.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineResources.java
@@ -4,6 +4,7 @@
 
 import org.guavathread.core.dispatch.ServerLoads;
 import org.guavathread.core.id.BackendServerId;
+import org.guavathread.core.registry.SoftwareVersion;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.routing.ServiceTerms.EngineTerms;
 import org.guavathread.gateway.protocol.EngineReservation;
@@ -66,13 +67,16 @@
         prefillResult = Optional.of(result);
     }
 
-    boolean hasUsablePrefillResult() {
-        return prefillResult.filter(this::isUsable).isPresent();
+    /** Returns the software version whose engines can use the KV cache, if there is one that has not expired. */
+    Optional<SoftwareVersion> prefilledVersion() {
+        return prefillResult.filter(this::isUsable).map(p -> p.engine().softwareVersion());
     }
 
-    /** Returns and forgets the KV cache for a run; frees it if it would expire before the run starts. */
-    Optional<PrefillResult> takePrefillResult() {
-        Optional<PrefillResult> usable = prefillResult.filter(this::isUsable);
+    /** Returns and forgets the KV cache for a run; frees it if it would expire before, or fits another version only. */
+    Optional<PrefillResult> takePrefillResult(Worker at) {
+        Optional<PrefillResult> usable = prefillResult
+                .filter(this::isUsable)
+                .filter(p -> p.engine().softwareVersion().equals(at.softwareVersion()));
         if (usable.isEmpty()) {
             freeKvCache();
         }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
@@ -15,6 +15,7 @@
 import org.guavathread.core.dispatch.EngineWork;
 import org.guavathread.core.dispatch.WaitingRank;
 import org.guavathread.core.id.BackendServerId;
+import org.guavathread.core.registry.SoftwareVersion;
 import org.guavathread.core.request.Refusal;
 import org.guavathread.core.request.RefusalCode;
 import org.guavathread.core.routing.RouteRule;
@@ -82,10 +83,38 @@
         void acquire(BackendServerId server, Consumer<Boolean> onResult);
     }
 
+    /** Software versions of servers at which callers' streams began. */
+    public interface Origins {
+
+        /**
+         * Records where a stream began.
+         *
+         * @param attemptId id of the caller attempt that receives its first event
+         * @param version version of the server that wrote the event
+         * @param expiresAtMillis when the caller stops waiting
+         */
+        void began(String attemptId, SoftwareVersion version, long expiresAtMillis);
+
+        /**
+         * Finds the version at which a stream began that a caller takes up again.
+         *
+         * @param attemptId id of the attempt that brought its first event, if the caller names one
+         * @param service the service that serves the stream
+         * @param maxAgeMillis maximum age of the stream, in milliseconds
+         * @param onResult receives the version on the event loop's thread; empty if it cannot be known
+         */
+        void find(
+                Optional<String> attemptId,
+                ServiceName service,
+                long maxAgeMillis,
+                Consumer<Optional<SoftwareVersion>> onResult);
+    }
+
     private final GatewayContext context;
     private final BackendClient backendClient;
     private final FleetLoad load;
     private final Permits permits;
+    private final Origins origins;
     private final Set<Call> calls = new HashSet<>();
     private final Map<ServiceName, CapacityQueue> capacityQueues = new HashMap<>();
 
@@ -95,11 +124,13 @@
      * @param context components shared by all requests
      * @param load exchanges engine load with other hosts
      * @param permits grants requests to servers that state a limit
+     * @param origins knows the software versions at which streams began
      */
-    public RequestRouter(GatewayContext context, FleetLoad load, Permits permits) {
+    public RequestRouter(GatewayContext context, FleetLoad load, Permits permits, Origins origins) {
         this.context = context;
         this.load = load;
         this.permits = permits;
+        this.origins = origins;
         this.backendClient = new BackendClient(context.loop(), context.client());
     }
 
@@ -284,6 +315,7 @@
                         backendClient,
                         capacityQueueOf(admitted),
                         () -> drainRefusal(context.loop().nowMillis()),
+                        origins,
                         onEnd)
                 : new PlainCall(context, admitted, permits, backendClient, onEnd);
         calls.add(call[0]);
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -1,6 +1,7 @@
 package org.guavathread.gateway.call;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -9,6 +10,7 @@
 import org.guavathread.core.dispatch.EngineWork;
 import org.guavathread.core.dispatch.FairAdmissionQueue;
 import org.guavathread.core.id.BackendServerId;
+import org.guavathread.core.registry.SoftwareVersion;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.request.Refusal;
 import org.guavathread.core.request.RefusalCode;
@@ -59,12 +61,15 @@
     private final CapacityQueue capacityQueue;
     private final Set<BackendServerId> fullEngines = new HashSet<>();
     private final EngineResources resources;
+    private final EngineSelection selection;
     private final Supplier<Refusal> drainRefusal;
+    private final RequestRouter.Origins origins;
     private final StreamProgress progress;
     private EventLoop.Timer stallTimer;
     private CallerExchange.StreamBody out;
     private Optional<String> contentType = Optional.empty();
     private Optional<String> lastEventId;
+
     private boolean prefillTried;
     private long firstEventAtMillis;
     private long lastEventAtMillis;
@@ -79,9 +84,11 @@
             BackendClient backendClient,
             CapacityQueue capacityQueue,
             Supplier<Refusal> drainRefusal,
+            RequestRouter.Origins origins,
             Runnable onEnd) {
         super(context, admitted, permits, onEnd);
         this.drainRefusal = drainRefusal;
+        this.origins = origins;
         this.progress = new StreamProgress(
                 admitted.rule().targetMillis(),
                 admitted.rule().maxPauseMillis(),
@@ -91,11 +98,52 @@
         this.engineTerms = engineTerms;
         this.work = work;
         this.resources = new EngineResources(context, engineTerms);
+        this.selection =
+                new EngineSelection(context, engineTerms, admitted.rule().targetMillis());
         this.lastEventId = request().lastEventId();
     }
 
     @Override
     void begin() {
+        if (lastEventId.isEmpty()) {
+            queueOrPlace();
+            return;
+        }
+        origins.find(
+                request().resumedAttemptId(),
+                admitted.service(),
+                admitted.rule().timeoutMillis(),
+                found -> {
+                    if (!isEnded()) {
+                        resume(found);
+                    }
+                });
+    }
+
+    /** Continues a stream that a caller takes up again. */
+    private void resume(Optional<SoftwareVersion> origin) {
+        origin.ifPresent(selection::restrictTo);
+        if (origin.isEmpty()) {
+            refuse(Refusal.notRun(
+                    RefusalCode.ORIGIN_UNKNOWN,
+                    "It is not known at which software version the stream began; send the request without "
+                            + "Last-Event-Id."));
+        } else if (servers().isEmpty()) {
+            refuse(Refusal.notRun(
+                    RefusalCode.VERSION_GONE,
+                    "The stream began at software version " + origin.get() + ", of which no server is left."));
+        } else {
+            queueOrPlace();
+        }
+    }
+
+    /** Returns the servers that can serve the call: once its stream has begun, only those of the same version. */
+    @Override
+    List<Worker> servers() {
+        return selection.compatible(super.servers());
+    }
+
+    private void queueOrPlace() {
         if (capacityQueue.mustQueue(waitingPlace())) {
             waitForRoom();
         } else {
@@ -149,15 +197,12 @@
         }
         Set<BackendServerId> excluded = new HashSet<>(tried);
         excluded.addAll(fullEngines);
-        EngineWork remainingWork = out == null ? work : work.resumed();
-        Optional<EnginePlan> plan = context.engineDispatch()
-                .choose(
-                        serversWithRoom(),
-                        excluded,
-                        remainingWork,
-                        engineTerms.memoryTokens(),
-                        admitted.rule().targetMillis(),
-                        now());
+        boolean isUnopened = out == null;
+        Optional<EnginePlan> plan = selection.plan(
+                serversWithRoom(),
+                excluded,
+                isUnopened ? work : work.resumed(),
+                isUnopened ? resources.prefilledVersion() : Optional.empty());
         if (plan.isPresent()) {
             reserve(plan.get());
         } else if (!hasUntriedEngine()) {
@@ -215,7 +260,8 @@
                 .with("queuedTokens", context.loads().promptTokens(decode.id()))
                 .with("remainingMillis", remainingMillis())
                 .write();
-        boolean prefillsItself = !separatePrefill && !(out == null && resources.hasUsablePrefillResult());
+        boolean hasKvCache = out == null && resources.prefilledVersion().equals(Optional.of(decode.softwareVersion()));
+        boolean prefillsItself = !separatePrefill && !hasKvCache;
         resources.addRunLoad(decode.id(), prefillsItself ? work.promptTokens() : 0, work.occupiedTokens());
         if (engineTerms.reserveMillis() == 0) {
             onReserved(plan, separatePrefill);
@@ -386,7 +432,7 @@
         sends++;
         // A resumed stream needs a prefill of the prompt and of the tokens generated so far, which the engine runs
         // itself.
-        Optional<PrefillResult> usable = out == null ? resources.takePrefillResult() : Optional.empty();
+        Optional<PrefillResult> usable = out == null ? resources.takePrefillResult(worker) : Optional.empty();
         Optional<EngineReservation> reserved = resources.takeReservation(worker);
         log("send")
                 .with("server", worker.id())
@@ -517,6 +563,13 @@
         }
         contentType = head.header(CONTENT_TYPE);
         firstEventAtMillis = now();
+        selection.restrictTo(run.worker().softwareVersion());
+        if (admitted.rule().mayRunAgain() && request().lastEventId().isEmpty()) {
+            origins.began(
+                    request().attemptId(),
+                    run.worker().softwareVersion(),
+                    request().deadlineMillis());
+        }
         long millis = firstEventAtMillis - exchange().arrivedAtMillis();
         context.metrics().firstByte(admitted.rule().kind(), millis);
         log("first")
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipSocket.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipSocket.java
@@ -19,7 +19,9 @@
 import org.glassfish.grizzly.nio.transport.UDPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import org.guavathread.core.gossip.GossipPacket;
+import org.guavathread.core.message.PeerMessage;
 import org.guavathread.core.sheet.SocketAddressText;
+import org.guavathread.core.stream.StreamOriginNotice;
 import org.guavathread.router.supervisor.Supervised;
 import org.guavathread.wire.CodecException;
 import org.guavathread.wire.Frame;
@@ -34,13 +36,16 @@
 public final class GossipSocket implements Supervised {
 
     private static final int GOSSIP_MESSAGE = 1;
+    private static final int STREAM_ORIGIN_MESSAGE = 2;
 
     /** Fits into one network packet; a fragmented datagram would be lost with any one of its fragments. */
     public static final int MAX_DATAGRAM_BYTES = 1_400;
 
     private final SocketAddressText listen;
-    private final Consumer<GossipPacket> onPacket;
-    private final FrameCodec codec = new FrameCodec(new MessageRegistry().register(GOSSIP_MESSAGE, GossipPacket.class));
+    private final Consumer<PeerMessage> onMessage;
+    private final FrameCodec codec = new FrameCodec(new MessageRegistry()
+            .register(GOSSIP_MESSAGE, GossipPacket.class)
+            .register(STREAM_ORIGIN_MESSAGE, StreamOriginNotice.class));
     private final UDPNIOTransport transport;
     private Connection<SocketAddress> socket;
 
@@ -48,11 +53,11 @@
      * Creates the socket.
      *
      * @param listen address on which datagrams are received
-     * @param onPacket receives decoded packets, on a network thread
+     * @param onMessage receives decoded messages, on a network thread
      */
-    public GossipSocket(SocketAddressText listen, Consumer<GossipPacket> onPacket) {
+    public GossipSocket(SocketAddressText listen, Consumer<PeerMessage> onMessage) {
         this.listen = listen;
-        this.onPacket = onPacket;
+        this.onMessage = onMessage;
         this.transport = UDPNIOTransportBuilder.newInstance()
                 .setIOStrategy(SameThreadIOStrategy.getInstance())
                 .setSelectorRunnersCount(1)
@@ -64,20 +69,20 @@
     }
 
     /**
-     * Encodes a packet.
+     * Encodes a message.
      *
-     * @param packet the packet
+     * @param message the message
      * @return its bytes
      */
-    public byte[] encode(GossipPacket packet) {
-        return codec.encode(new Frame(0, false, packet));
+    public byte[] encode(PeerMessage message) {
+        return codec.encode(new Frame(0, false, message));
     }
 
     /**
-     * Sends a packet; delivery is not guaranteed.
+     * Sends a message; delivery is not guaranteed.
      *
      * @param to the receiver
-     * @param bytes the encoded packet
+     * @param bytes the encoded message
      */
     public void send(SocketAddressText to, byte[] bytes) {
         socket.write(
@@ -120,7 +125,7 @@
             byte[] bytes = new byte[buffer.remaining()];
             buffer.get(bytes);
             try {
-                onPacket.accept((GossipPacket) codec.decode(bytes).message());
+                onMessage.accept(codec.decode(bytes).message());
             } catch (CodecException e) {
                 Logger.warn("A gossip packet from {} cannot be decoded: {}.", ctx.getAddress(), e.getMessage());
             }
--- /dev/null
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/OriginDirectory.java
@@ -0,0 +1,243 @@
+package org.guavathread.gateway.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.guavathread.core.gossip.FleetView;
+import org.guavathread.core.gossip.HostPhase;
+import org.guavathread.core.gossip.HostReport;
+import org.guavathread.core.hash.RendezvousHash;
+import org.guavathread.core.registry.SoftwareVersion;
+import org.guavathread.core.routing.ServiceName;
+import org.guavathread.core.stream.StreamOriginNotice;
+import org.guavathread.core.stream.StreamOrigins;
+import org.guavathread.gateway.call.GatewayContext;
+import org.guavathread.gateway.call.RequestRouter;
+import org.guavathread.gateway.protocol.StoreClient;
+import org.guavathread.router.http.HttpResponse;
+import org.guavathread.wire.CodecException;
+import org.tinylog.Logger;
+
+/**
+ * Knows at which software version each caller's stream began. A host tells a few others, chosen by rendezvous hashing over
+ * the attempt, when a stream begins, and asks them when a caller takes up a stream that it does not know. Where nobody is
+ * left who knew, the stream can go on only if all servers of its time had the same version. Runs on the event loop's
+ * thread.
+ */
+public final class OriginDirectory implements RequestRouter.Origins {
+
+    /** Number of other hosts that keep each origin; they are spread over data centres. */
+    private static final int COPIES = 3;
+
+    /** Lifetime of an origin if the caller's deadline is not known. */
+    private static final long MAX_LIFETIME_MILLIS = 60_000;
+
+    /** Time for which a host may go on using a server whose entry is gone, and so begin streams there. */
+    private static final long LATE_USE_MILLIS = 5_000;
+
+    private static final int STATUS_OK = 200;
+
+    private final GatewayContext context;
+    private final FleetView fleet;
+    private final GossipSocket socket;
+    private final StoreHistoryReader history;
+    private final StreamOrigins origins = new StreamOrigins();
+    private final OriginRelay relay = new OriginRelay();
+
+    /**
+     * Creates a directory.
+     *
+     * @param context source of the servers' versions
+     * @param fleet this host's view of the other hosts
+     * @param socket sends notices
+     * @param store the store, whose history is read when no host knows a stream
+     * @param historyMillis for how long the store remembers changes, in milliseconds; 0 if that is not known
+     */
+    public OriginDirectory(
+            GatewayContext context, FleetView fleet, GossipSocket socket, StoreClient store, long historyMillis) {
+        this.context = context;
+        this.fleet = fleet;
+        this.socket = socket;
+        this.history = new StoreHistoryReader(context, store, historyMillis);
+    }
+
+    @Override
+    public void began(String attemptId, SoftwareVersion version, long expiresAtMillis) {
+        publish(attemptId, version, StreamOrigins.Source.FIRST_EVENT, expiresAtMillis - now());
+    }
+
+    /**
+     * Records that a server runs a stream.
+     *
+     * @param attemptId id of the caller attempt
+     * @param version version of the server
+     */
+    void isRunning(String attemptId, SoftwareVersion version) {
+        publish(attemptId, version, StreamOrigins.Source.RUNNING, MAX_LIFETIME_MILLIS);
+    }
+
+    private void publish(String attemptId, SoftwareVersion version, StreamOrigins.Source source, long lifetimeMillis) {
+        StreamOriginNotice notice = new StreamOriginNotice(
+                StreamOrigins.keyOf(attemptId), version, (int) Math.min(MAX_LIFETIME_MILLIS, lifetimeMillis), source);
+        receive(notice);
+        byte[] bytes = socket.encode(notice);
+        keepersOf(notice.attempt()).forEach(peer -> socket.send(peer.peers(), bytes));
+    }
+
+    /**
+     * Keeps an origin for another host.
+     *
+     * @param notice the other host's notice
+     */
+    public void receive(StreamOriginNotice notice) {
+        origins.record(notice.attempt(), notice.version(), notice.source(), now() + notice.lifetimeMillis(), now());
+    }
+
+    /**
+     * Answers another host.
+     *
+     * @param attempt key of the attempt that it asks for
+     * @return the encoded answer
+     */
+    public byte[] answer(long attempt) {
+        return relay.encode(new OriginRelay.Origin(origins.find(attempt, now())));
+    }
+
+    @Override
+    public void find(
+            Optional<String> attemptId,
+            ServiceName service,
+            long maxAgeMillis,
+            Consumer<Optional<SoftwareVersion>> onResult) {
+        Search search = new Search(attemptId, service, maxAgeMillis + LATE_USE_MILLIS, onResult);
+        Optional<Long> attempt = attemptId.map(StreamOrigins::keyOf);
+        Optional<SoftwareVersion> known = attempt.flatMap(key -> origins.find(key, now()));
+        Optional<SoftwareVersion> only = search.onlyVersion();
+        if (known.isPresent()) {
+            search.end("known", known);
+        } else if (only.isPresent()) {
+            search.end("only version", only);
+        } else if (attempt.isPresent()) {
+            search.ask(attempt.get());
+        } else {
+            search.readHistory();
+        }
+    }
+
+    private List<HostReport> keepersOf(long attempt) {
+        List<HostReport> hosts = new ArrayList<>(fleet.reachableHosts(now()));
+        hosts.removeIf(r -> r.phase() == HostPhase.LEAVING);
+        return RendezvousHash.rankSpread(
+                Long.toHexString(attempt), hosts, r -> r.host().value(), HostReport::dataCentre, COPIES);
+    }
+
+    private long now() {
+        return context.loop().nowMillis();
+    }
+
+    /** The search for the origin of one stream. */
+    private final class Search {
+
+        private final Optional<String> attemptId;
+        private final ServiceName service;
+        private final long maxAgeMillis;
+        private final Consumer<Optional<SoftwareVersion>> onResult;
+        private final long startedAtMillis = now();
+        private int answersLeft;
+        private boolean ended;
+
+        private Search(
+                Optional<String> attemptId,
+                ServiceName service,
+                long maxAgeMillis,
+                Consumer<Optional<SoftwareVersion>> onResult) {
+            this.attemptId = attemptId;
+            this.service = service;
+            this.maxAgeMillis = maxAgeMillis;
+            this.onResult = onResult;
+        }
+
+        private Optional<Set<SoftwareVersion>> versionsOfItsTime() {
+            return context.state().registry().versionsSince(service, now() - maxAgeMillis);
+        }
+
+        private Optional<SoftwareVersion> onlyVersion() {
+            return versionsOfItsTime()
+                    .filter(versions -> versions.size() == 1)
+                    .map(versions -> versions.iterator().next());
+        }
+
+        private void ask(long attempt) {
+            List<HostReport> keepers = keepersOf(attempt);
+            answersLeft = keepers.size();
+            if (keepers.isEmpty()) {
+                readHistory();
+                return;
+            }
+            keepers.forEach(peer -> context.client()
+                    .send(peer.peers(), relay.request(attempt, now()))
+                    .whenComplete((answer, failure) -> context.loop().execute(() -> answered(peer, answer, failure))));
+        }
+
+        private void answered(HostReport peer, HttpResponse answer, Throwable failure) {
+            answersLeft--;
+            Optional<SoftwareVersion> version = versionIn(peer, answer, failure);
+            if (version.isPresent()) {
+                end("told by " + peer.host(), version);
+            } else if (answersLeft == 0) {
+                readHistory();
+            }
+        }
+
+        private Optional<SoftwareVersion> versionIn(HostReport peer, HttpResponse answer, Throwable failure) {
+            if (failure != null || answer.status() != STATUS_OK) {
+                Logger.warn(
+                        "Asking host {} where a stream began failed: {}.",
+                        peer.host(),
+                        failure == null ? "status " + answer.status() : failure.getMessage());
+                return Optional.empty();
+            }
+            try {
+                return relay.decode(answer.body()).version();
+            } catch (CodecException e) {
+                Logger.warn("The origin of a stream from host {} cannot be decoded: {}.", peer.host(), e.getMessage());
+                return Optional.empty();
+            }
+        }
+
+        private void readHistory() {
+            if (ended) {
+                return;
+            }
+            if (versionsOfItsTime().isPresent()) {
+                end("several versions", Optional.empty());
+                return;
+            }
+            history.read(maxAgeMillis, () -> {
+                Optional<SoftwareVersion> only = onlyVersion();
+                end(only.isPresent() ? "only version by the store's history" : "unknown", only);
+            });
+        }
+
+        private void end(String outcome, Optional<SoftwareVersion> version) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            context.log()
+                    .entry("origin")
+                    .with("resumes", attemptId.orElse("none"))
+                    .with("outcome", outcome)
+                    .with("version", version.map(SoftwareVersion::value).orElse("unknown"))
+                    .with("versions", versionsOfItsTime().map(Set::toString).orElse("unknown"))
+                    .with("maxAgeMillis", maxAgeMillis)
+                    .with("millis", now() - startedAtMillis)
+                    .write();
+            context.metrics().resumed(version.isPresent());
+            onResult.accept(version);
+        }
+    }
+}
--- /dev/null
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/RunSurvey.java
@@ -0,0 +1,61 @@
+package org.guavathread.gateway.fleet;
+
+import java.util.Optional;
+import java.util.function.Predicate;
+
+import org.guavathread.core.registry.Worker;
+import org.guavathread.gateway.call.GatewayContext;
+import org.guavathread.gateway.protocol.EngineReport;
+
+/**
+ * Asks engines, when a host starts, which streams they are running: the hosts that began them may all have ended, and the
+ * engines notice that late. Hosts that start together share the engines among them. Runs on the event loop's thread.
+ */
+public final class RunSurvey {
+
+    /** Timeout of one report: a busy engine takes some hundred milliseconds. */
+    private static final long REPORT_TIMEOUT_MILLIS = 600;
+
+    private final GatewayContext context;
+    private final OriginDirectory origins;
+    private final Predicate<String> isAssigned;
+
+    /**
+     * Creates a survey.
+     *
+     * @param context source of the engines
+     * @param origins receives the versions of the running streams
+     * @param isAssigned tells whether this host asks the engine with the given name
+     */
+    public RunSurvey(GatewayContext context, OriginDirectory origins, Predicate<String> isAssigned) {
+        this.context = context;
+        this.origins = origins;
+        this.isAssigned = isAssigned;
+    }
+
+    /** Asks the engines that this host is assigned to. */
+    public void start() {
+        context.state().registry().ids().stream()
+                .flatMap(id -> context.state().registry().find(id).stream())
+                .filter(w -> w.stage().generates() && isAssigned.test(w.id().value()))
+                .forEach(this::ask);
+    }
+
+    private void ask(Worker engine) {
+        long untilMillis = context.loop().nowMillis() + REPORT_TIMEOUT_MILLIS;
+        context.client()
+                .send(engine.address(), context.backendProtocol().report(engine, untilMillis))
+                .whenComplete((answer, failure) -> context.loop().execute(() -> {
+                    Optional<EngineReport> report =
+                            failure == null ? context.backendProtocol().reportOf(engine, answer) : Optional.empty();
+                    report.ifPresent(r -> r.streams().forEach(id -> origins.isRunning(id, engine.softwareVersion())));
+                    context.log()
+                            .entry("survey")
+                            .with("server", engine.id())
+                            .with("serverVersion", engine.softwareVersion())
+                            .with("streams", report.map(r -> r.streams().size()).orElse(0))
+                            .with("failure", failure == null ? "none" : failure.getMessage())
+                            .write();
+                }));
+    }
+}
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/log/GatewayMetrics.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/log/GatewayMetrics.java
@@ -37,6 +37,11 @@
             .help("Changes of the published state by what changed.")
             .labelNames("what")
             .register(registry);
+    private final Counter resumed = Counter.builder()
+            .name("guavathread_resumed_streams_total")
+            .help("Streams that callers took up again, by whether the version that began them was known.")
+            .labelNames("origin")
+            .register(registry);
     private final Histogram firstByte = Histogram.builder()
             .name("guavathread_first_byte_seconds")
             .help("Time from the arrival of a request to the first byte of its answer.")
@@ -102,6 +107,15 @@
         stateChanges.labelValues(what).inc();
     }
 
+    /**
+     * Counts a stream that a caller took up again.
+     *
+     * @param isOriginKnown whether the software version that began it is known
+     */
+    public void resumed(boolean isOriginKnown) {
+        resumed.labelValues(isOriginKnown ? "known" : "unknown").inc();
+    }
+
     /**
      * Adds a gauge.
      *
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/EngineReport.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/EngineReport.java
@@ -1,12 +1,21 @@
 package org.guavathread.gateway.protocol;
 
+import java.util.List;
+
 import org.guavathread.core.registry.EngineStage;
 
 /**
- * An engine's report about its role and the orders that it received; up to a second old.
+ * An engine's report about its role, the orders that it received and what it runs; up to a second old.
  *
  * @param stage the engine's current stage
  * @param isBusy whether the engine is executing an order
  * @param ordersTaken number of orders that the engine has accepted since its start
+ * @param streams attempt ids of the running requests of which it has made events
  */
-public record EngineReport(EngineStage stage, boolean isBusy, long ordersTaken) {}
+public record EngineReport(EngineStage stage, boolean isBusy, long ordersTaken, List<String> streams) {
+
+    /** Copies the list. */
+    public EngineReport {
+        streams = List.copyOf(streams);
+    }
+}
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/settings/GatewaySettings.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/settings/GatewaySettings.java
@@ -84,6 +84,12 @@
             usage = "interval at which backend servers report to the store, in milliseconds")
     private long serverReportMillis = 1_200;
 
+    @Option(
+            name = "--store-history-seconds",
+            metaVar = "N",
+            usage = "how long the store remembers changes, in seconds; 0 if that is not known")
+    private double storeHistorySeconds;
+
     @Option(name = "--log-level", metaVar = "LEVEL", usage = "trace, debug, info, warn or error")
     private String logLevel = "info";
 
@@ -117,6 +123,9 @@
         if (serverReportMillis < 1) {
             faults.add("--server-report-millis is " + serverReportMillis + "; it must be at least 1.");
         }
+        if (storeHistorySeconds < 0) {
+            faults.add("--store-history-seconds is " + storeHistorySeconds + "; it cannot be negative.");
+        }
         if (prefillShare > 1) {
             faults.add("--prefill-share is " + prefillShare + "; it must be at most 1.");
         }
@@ -312,6 +321,15 @@
         return applyMillis;
     }
 
+    /**
+     * Returns how long the store remembers changes.
+     *
+     * @return milliseconds; 0 if that is not known
+     */
+    public long storeHistoryMillis() {
+        return (long) (storeHistorySeconds * 1_000);
+    }
+
     /**
      * Returns the interval at which backend servers report to the store.
      *
