Let a stream that its caller takes up go before new requests that are late

Cause: a take-up was ranked like a new request, which is late half a target after it arrived. The target is about the first event, which the caller of a taken-up stream already has; a stream that the host itself resumes never counted as late.

ReturningCallerTest: two new requests wait until they are late, then a take-up; room for one. Before, a new request got it and the take-up was refused; now the take-up completes.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -226,11 +226,18 @@
         long giveUpAtMillis = Math.min(
                 lastReceivedAtMillis + (long) (QUEUE_TIMEOUT_TARGETS * targetMillis),
                 admitted.deadlineMillis() - targetMillis);
-        long onTimeUntilMillis = out == null ? arrivedAtMillis + (long) (ON_TIME_SHARE * targetMillis) : Long.MAX_VALUE;
+        // The first event of a stream that goes on has been received; what its caller has is lost unless it completes.
+        long onTimeUntilMillis =
+                isContinuation() ? Long.MAX_VALUE : arrivedAtMillis + (long) (ON_TIME_SHARE * targetMillis);
         return new FairAdmissionQueue.Attributes(
                 admitted.workspace().map(WorkspaceTerms::id), arrivedAtMillis, onTimeUntilMillis, giveUpAtMillis);
     }
 
+    /** Returns whether the caller has received the first events, in this answer or in an earlier one. */
+    private boolean isContinuation() {
+        return out != null || request().lastEventId().isPresent();
+    }
+
     private void waitForRoom() {
         FairAdmissionQueue.Attributes place = waitingPlace();
         boolean queued = capacityQueue.enqueue(this, place);
