Give streams that go on a lane of their own in the admission queue

Cause: the take-up of a workspace above its fair share still waited behind other workspaces' new requests; and since a stream can go on at engines of one version only, one that waits for them at the head of the queue held up new requests that other engines had room for. Streams that go on now have a lane of their own: it is tried first, in order of arrival, and a round goes on to the lane of new requests when the engines of the stream's version have no room.

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/FairAdmissionQueue.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/FairAdmissionQueue.java
@@ -15,6 +15,9 @@
  * those, requests of workspaces within their fair share go first, so that a burst of a workspace delays only its own
  * requests; ties are served in order of arrival. A request that would expire before its turn is rejected.
  *
+ * <p>Streams that go on after an interruption have a lane of their own, in order of arrival, which goes first: their callers
+ * lose what they have received otherwise. As only some engines can serve them, the two lanes never wait for each other.
+ *
  * @param <T> type of the queued requests
  */
 public final class FairAdmissionQueue<T> {
@@ -32,9 +35,22 @@
      * @param arrivedAtMillis time of its arrival
      * @param onTimeUntilMillis latest time of admission at which it still meets its latency target
      * @param expiresAtMillis time at which it expires, because its caller gives up
+     * @param lane where it waits
      */
     public record Attributes(
-            Optional<WorkspaceId> workspace, long arrivedAtMillis, long onTimeUntilMillis, long expiresAtMillis) {}
+            Optional<WorkspaceId> workspace,
+            long arrivedAtMillis,
+            long onTimeUntilMillis,
+            long expiresAtMillis,
+            Lane lane) {}
+
+    /** Requests that wait for the same engines; the first lane goes first. */
+    public enum Lane {
+        /** Streams of which the callers have received a part. */
+        CONTINUATION,
+        /** Requests that have no answer yet. */
+        NEW
+    }
 
     private final Map<T, Attributes> queued = new LinkedHashMap<>();
     private final FairShareTracker shares;
@@ -64,6 +80,7 @@
         }
         WaitingRank rank = rankOf(attributes, nowMillis);
         long ahead = queued.values().stream()
+                .filter(other -> other.lane() == attributes.lane())
                 .filter(other -> !rankOf(other, nowMillis).ranksBelow(rank))
                 .count();
         if (nowMillis + ahead * intervalMillis >= attributes.expiresAtMillis()) {
@@ -100,17 +117,20 @@
     }
 
     /**
-     * Returns the request to admit next.
+     * Returns the request of a lane to admit next.
      *
-     * @param elsewhere best rank of the requests that are queued at other hosts
+     * @param lane the lane
+     * @param elsewhere best rank of the new requests that are queued at other hosts
      * @param nowMillis the current time
-     * @return the request, or empty if none is queued or another host has one of a better rank
+     * @return the request, or empty if none is queued or another host has a new one of a better rank
      */
-    public Optional<T> first(WaitingRank elsewhere, long nowMillis) {
+    public Optional<T> first(Lane lane, WaitingRank elsewhere, long nowMillis) {
         Comparator<Map.Entry<T, Attributes>> byRank = Comparator.comparing(e -> rankOf(e.getValue(), nowMillis));
         return queued.entrySet().stream()
+                .filter(e -> e.getValue().lane() == lane)
                 .min(byRank.thenComparingLong(e -> e.getValue().arrivedAtMillis()))
-                .filter(e -> !rankOf(e.getValue(), nowMillis).ranksBelow(elsewhere))
+                .filter(e -> lane == Lane.CONTINUATION
+                        || !rankOf(e.getValue(), nowMillis).ranksBelow(elsewhere))
                 .map(Map.Entry::getKey);
     }
 
@@ -128,6 +148,9 @@
     }
 
     private WaitingRank rankOf(Attributes attributes, long nowMillis) {
+        if (attributes.lane() == Lane.CONTINUATION) {
+            return WaitingRank.ON_TIME;
+        }
         if (nowMillis > attributes.onTimeUntilMillis()) {
             return WaitingRank.LATE;
         }
@@ -137,13 +160,18 @@
     }
 
     /**
-     * Returns the best rank of the queued requests.
+     * Returns the best rank of the new requests that are queued.
      *
      * @param nowMillis the current time
      * @return the rank; {@link WaitingRank#NONE} if the queue is empty
      */
     public WaitingRank bestRank(long nowMillis) {
+        return bestRank(Lane.NEW, nowMillis);
+    }
+
+    private WaitingRank bestRank(Lane lane, long nowMillis) {
         return queued.values().stream()
+                .filter(attributes -> attributes.lane() == lane)
                 .map(attributes -> rankOf(attributes, nowMillis))
                 .min(Comparator.naturalOrder())
                 .orElse(WaitingRank.NONE);
@@ -154,10 +182,10 @@
      *
      * @param attributes its scheduling attributes
      * @param nowMillis the current time
-     * @return true if a request of the same or a better rank is queued
+     * @return true if a request of the same or a better rank is queued in its lane
      */
     public boolean mustQueue(Attributes attributes, long nowMillis) {
-        return !bestRank(nowMillis).ranksBelow(rankOf(attributes, nowMillis));
+        return !bestRank(attributes.lane(), nowMillis).ranksBelow(rankOf(attributes, nowMillis));
     }
 
     /**
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/CapacityQueue.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/CapacityQueue.java
@@ -1,8 +1,10 @@
 package org.guavathread.gateway.call;
 
+import java.util.List;
 import java.util.function.Supplier;
 
 import org.guavathread.core.dispatch.FairAdmissionQueue;
+import org.guavathread.core.dispatch.FairAdmissionQueue.Lane;
 import org.guavathread.core.dispatch.WaitingRank;
 import org.guavathread.core.share.FairShareTracker;
 import org.guavathread.gateway.loop.EventLoop;
@@ -22,6 +24,8 @@
     private final FairAdmissionQueue<StreamCall> queue;
     private EventLoop.Timer timer;
     private StreamCall retrying;
+    private Lane retryingLane;
+    private boolean inRound;
 
     /**
      * Creates a queue.
@@ -40,7 +44,8 @@
 
     /** Enqueues a request; returns false if it would not get capacity in time. */
     boolean enqueue(StreamCall call, FairAdmissionQueue.Attributes place) {
-        if (retrying == call) {
+        boolean hasRetried = retrying == call;
+        if (hasRetried) {
             retrying = null;
         }
         boolean waits = queue.add(call, place, loop.nowMillis());
@@ -48,6 +53,10 @@
             scheduleRetry();
             onChange.run();
         }
+        if (hasRetried && retryingLane == Lane.CONTINUATION && !inRound) {
+            // Engines that cannot serve the stream may have room for a new request.
+            retry(List.of(Lane.NEW));
+        }
         return waits;
     }
 
@@ -104,11 +113,21 @@
         }
         scheduleRetry();
         queue.expired(loop.nowMillis()).forEach(StreamCall::waitTimedOut);
-        if (retrying == null) {
-            queue.first(bestElsewhere.get(), loop.nowMillis()).ifPresent(call -> {
-                retrying = call;
-                call.retryPlacement();
-            });
+        retry(List.of(Lane.values()));
+    }
+
+    /** Lets the first request of the first lane retry that has one, and those of the next lanes if it does not find room. */
+    private void retry(List<Lane> lanes) {
+        inRound = true;
+        for (Lane lane : lanes) {
+            if (retrying == null) {
+                queue.first(lane, bestElsewhere.get(), loop.nowMillis()).ifPresent(call -> {
+                    retrying = call;
+                    retryingLane = lane;
+                    call.retryPlacement();
+                });
+            }
         }
+        inRound = false;
     }
 }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -226,11 +226,12 @@
         long giveUpAtMillis = Math.min(
                 lastReceivedAtMillis + (long) (QUEUE_TIMEOUT_TARGETS * targetMillis),
                 admitted.deadlineMillis() - targetMillis);
-        // The first event of a stream that goes on has been received; what its caller has is lost unless it completes.
-        long onTimeUntilMillis =
-                isContinuation() ? Long.MAX_VALUE : arrivedAtMillis + (long) (ON_TIME_SHARE * targetMillis);
         return new FairAdmissionQueue.Attributes(
-                admitted.workspace().map(WorkspaceTerms::id), arrivedAtMillis, onTimeUntilMillis, giveUpAtMillis);
+                admitted.workspace().map(WorkspaceTerms::id),
+                arrivedAtMillis,
+                arrivedAtMillis + (long) (ON_TIME_SHARE * targetMillis),
+                giveUpAtMillis,
+                isContinuation() ? FairAdmissionQueue.Lane.CONTINUATION : FairAdmissionQueue.Lane.NEW);
     }
 
     /** Returns whether the caller has received the first events, in this answer or in an earlier one. */
