Send messages through another host while servers are out of reach

Cause: a host that reached no server had no other way to serve a request, for as long as the cut lasted, and callers keep its address. Ruled out by the logs: servers that stay avoided after the cut (the first requests afterwards are served).

ServerReach notices that several servers could not be connected to since the last connection to any; RelayedCall and ServerRelay carry each message through another host, unchanged, so that all decisions and promises stay with the host that the caller chose; ReachMonitor probes until a server answers. The port for other hosts is served by CallerServer now, as relayed answers are streamed. Hosts that are cut off are named to callers only if no other is known; if no host reaches the servers, requests are refused at once. Neither our code nor Grizzly sets TCP_USER_TIMEOUT: the JDK offers no such option (a test says so).

--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
@@ -333,20 +333,35 @@
     }
 
     /**
-     * Returns the addresses, other than this host's, to which callers may connect.
+     * Returns the addresses, other than this host's, to which callers may connect. Hosts that are cut off from servers are
+     * named only if no host is known that is not.
      *
      * @param dataCentre the caller's data centre
+     * @param isCutOff whether this host is cut off itself
      * @param nowMillis the current time
      * @return addresses of ready reachable hosts, those in the caller's data centre first
      */
-    public List<SocketAddressText> callerAddresses(DataCentreId dataCentre, long nowMillis) {
+    public List<SocketAddressText> callerAddresses(DataCentreId dataCentre, boolean isCutOff, long nowMillis) {
         List<HostReport> ready = new ArrayList<>(reachableHosts(nowMillis));
         ready.removeIf(r -> !r.phase().takesCallers());
+        if (!isCutOff || anyReachesServers(nowMillis)) {
+            ready.removeIf(HostReport::isCutOff);
+        }
         ready.sort((a, b) -> Boolean.compare(
                 !a.dataCentre().equals(dataCentre), !b.dataCentre().equals(dataCentre)));
         return ready.stream().map(HostReport::callers).toList();
     }
 
+    /**
+     * Tells whether another host serves callers and reaches the servers.
+     *
+     * @param nowMillis the current time
+     * @return true if a ready reachable host is not cut off
+     */
+    public boolean anyReachesServers(long nowMillis) {
+        return reachableHosts(nowMillis).stream().anyMatch(r -> r.phase().takesCallers() && !r.isCutOff());
+    }
+
     /**
      * Returns the reachable share of the hosts that may be spending shared budgets.
      *
--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
@@ -32,6 +32,7 @@
  * @param unreachable backend servers to which it cannot connect
  * @param crashed evidence of requests that crash backend servers, its own and what it learned from other hosts
  * @param limits limits that backend servers stated in their answers to this host
+ * @param isCutOff whether it cannot connect to the servers of a service, and so cannot relay requests
  */
 public record HostReport(
         HostId host,
@@ -50,7 +51,8 @@
         List<ServerLoad> load,
         List<BackendServerId> unreachable,
         List<CrashEvidence> crashed,
-        List<StatedLimit> limits) {
+        List<StatedLimit> limits,
+        boolean isCutOff) {
 
     /** Copies the collections. */
     public HostReport {
@@ -134,7 +136,8 @@
                 load,
                 unreachable,
                 crashed,
-                limits);
+                limits,
+                isCutOff);
     }
 
     /**
--- a/guavathread-core/src/main/java/org/guavathread/core/registry/WorkerRegistry.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/registry/WorkerRegistry.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.routing.ServiceName;
@@ -132,11 +133,22 @@
      * @return servers that are registered or in their grace period, and not draining
      */
     public List<Worker> usable(ServiceName service) {
+        return usable(w -> w.service().equals(service));
+    }
+
+    /**
+     * Returns the servers of all services that accept new requests.
+     *
+     * @return servers that are registered or in their grace period, and not draining
+     */
+    public List<Worker> usable() {
+        return usable(w -> true);
+    }
+
+    private List<Worker> usable(Predicate<Worker> filter) {
         List<Worker> usable = new ArrayList<>();
         for (Collection<Worker> each : List.of(registered.values(), lapsed.values())) {
-            each.stream()
-                    .filter(w -> w.service().equals(service) && !w.draining())
-                    .forEach(usable::add);
+            each.stream().filter(w -> !w.draining() && filter.test(w)).forEach(usable::add);
         }
         return usable;
     }
--- a/guavathread-core/src/test/java/org/guavathread/core/publish/StoreFollowerTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/publish/StoreFollowerTest.java
@@ -123,7 +123,8 @@
                 List.of(),
                 List.of(),
                 List.of(),
-                List.of());
+                List.of(),
+                false);
         assertEquals(
                 Optional.empty(),
                 follower.nextPeer(Optional.of(ahead), new StorePosition(1, 8), 100),
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/EntryAnswers.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/EntryAnswers.java
@@ -15,16 +15,17 @@
     private static final int MAX_ADDRESSES = 64;
 
     private final SocketAddressText own;
-    private volatile View view = new View(List.of(), HostPhase.STARTING);
+    private volatile View view = new View(List.of(), HostPhase.STARTING, false);
 
-    private record View(List<SocketAddressText> others, HostPhase phase) {}
+    private record View(List<SocketAddressText> others, HostPhase phase, boolean othersAreBetter) {}
 
     EntryAnswers(SocketAddressText own) {
         this.own = own;
     }
 
-    void update(FleetView fleet, HostPhase phase, DataCentreId here, long nowMillis) {
-        view = new View(fleet.callerAddresses(here, nowMillis), phase);
+    void update(FleetView fleet, HostPhase phase, boolean isCutOff, DataCentreId here, long nowMillis) {
+        List<SocketAddressText> others = fleet.callerAddresses(here, isCutOff, nowMillis);
+        view = new View(others, phase, isCutOff && fleet.anyReachesServers(nowMillis));
     }
 
     /**
@@ -35,7 +36,7 @@
     public List<SocketAddressText> addresses() {
         View now = view;
         List<SocketAddressText> addresses = new ArrayList<>();
-        if (now.phase().takesCallers() || now.others().isEmpty()) {
+        if (now.phase().takesCallers() && !now.othersAreBetter() || now.others().isEmpty()) {
             addresses.add(own);
         }
         addresses.addAll(now.others());
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import org.guavathread.core.dispatch.ServerHealth;
 import org.guavathread.core.dispatch.ServerLimits;
 import org.guavathread.core.dispatch.ServerLoads;
+import org.guavathread.core.dispatch.ServerReach;
 import org.guavathread.core.gossip.FleetView;
 import org.guavathread.core.gossip.GossipPacket;
 import org.guavathread.core.gossip.HostPhase;
@@ -38,13 +39,17 @@
 import org.guavathread.core.time.Clock;
 import org.guavathread.gateway.call.GatewayContext;
 import org.guavathread.gateway.call.RequestRouter;
+import org.guavathread.gateway.call.ServerRelay;
 import org.guavathread.gateway.fleet.FleetRelay;
 import org.guavathread.gateway.fleet.GossipReporter;
 import org.guavathread.gateway.fleet.GossipSocket;
 import org.guavathread.gateway.fleet.OriginDirectory;
 import org.guavathread.gateway.fleet.OriginRelay;
+import org.guavathread.gateway.fleet.PeerServer;
 import org.guavathread.gateway.fleet.PermitClient;
 import org.guavathread.gateway.fleet.PermitRelay;
+import org.guavathread.gateway.fleet.ReachMonitor;
+import org.guavathread.gateway.fleet.RelayHosts;
 import org.guavathread.gateway.fleet.RoleCoordinator;
 import org.guavathread.gateway.fleet.RunSurvey;
 import org.guavathread.gateway.fleet.StateRelay;
@@ -101,6 +106,11 @@
     /** Time after the listening socket has closed in which requests that are in transit are refused as not run. */
     private static final long REFUSE_IN_TRANSIT_MILLIS = 200;
 
+    /** Maximum head of a request of another host, which contains that of a caller. */
+    private static final int MAX_PEER_HEAD_BYTES = 64 * 1024;
+
+    private static final int PEER_HEAD_MILLIS = 3_000;
+    private static final int PEER_IDLE_MILLIS = 15_000;
     private static final long DRAIN_POLL_MILLIS = 50;
     private static final long LOOP_CALL_TIMEOUT_MILLIS = 500;
 
@@ -113,6 +123,8 @@
     private final GossipReporter reporter;
     private final OriginDirectory origins;
     private final RequestRouter router;
+    private final ServerRelay relay;
+    private final ReachMonitor reach;
     private final StateSynchroniser stateSynchroniser;
     private final RoleCoordinator roleCoordinator;
     private final CallerServer callerServer;
@@ -154,8 +166,14 @@
         this.reporter = new GossipReporter(identity, context, fleet, socket[0]);
         StoreClient store = platform.storeClient(context.client(), settings);
         this.origins = new OriginDirectory(context, fleet, socket[0], store, settings.storeHistoryMillis());
-        this.router =
-                new RequestRouter(context, reporter, new PermitClient(settings.hostId(), context, fleet), origins);
+        this.router = new RequestRouter(
+                context,
+                reporter,
+                new PermitClient(settings.hostId(), context, fleet),
+                origins,
+                new RelayHosts(context, fleet));
+        this.relay = new ServerRelay(context);
+        this.reach = new ReachMonitor(context);
         this.stateSynchroniser = new StateSynchroniser(
                 context,
                 store,
@@ -189,6 +207,7 @@
                 new SharedRetryBudget(settings.retryRatio(), settings.retryExtra(), settings.retryWindowMillis()),
                 loads,
                 health,
+                new ServerReach(),
                 new ServerLimits(settings.hostId()),
                 new PlainDispatch(settings.dataCentre(), loads, health, random.split()),
                 new EngineDispatch(loads, health, random.split()),
@@ -212,18 +231,22 @@
         supervisor.add(new PageServer("ready", settings.listenReady(), platform.readyPages(entry)));
         supervisor.add(new PageServer(
                 "entry", settings.listenEntry(), platform.entryPages(entry, settings.entryLifetimeSeconds())));
-        supervisor.add(new PageServer(
-                "peers",
-                settings.listenPeers(),
+        PeerServer peers = new PeerServer(
+                context.loop(),
                 Map.of(
                         StateRelay.PATH,
-                        this::statePage,
+                        query ->
+                                new StateRelay().encode(context.state(), StateRelay.Known.of(query), clock.nowMillis()),
                         FleetRelay.PATH,
-                        query -> page(reporter::encodeAllReports),
+                        query -> reporter.encodeAllReports(),
                         PermitRelay.PATH,
                         this::permitPage,
                         OriginRelay.PATH,
-                        this::originPage)));
+                        query -> origins.answer(OriginRelay.attemptOf(query))),
+                relay::accept);
+        supervisor.add(new CallerServer(settings.listenPeers(), ids, clock, pauses, peers::accept)
+                .bounds(() -> new CallerBounds(
+                        MAX_PEER_HEAD_BYTES, callerBounds.maxBodyBytes(), PEER_HEAD_MILLIS, PEER_IDLE_MILLIS)));
         supervisor.add(new PageServer(
                 "metrics",
                 settings.listenMetrics(),
@@ -231,7 +254,7 @@
                         "/metrics",
                         query -> new PageServer.Page(
                                 200, "text/plain", context.metrics().text()))));
-        context.metrics().gauge("guavathread_requests_in_progress", "Requests without an end.", this::inProgress);
+        context.metrics().gauge("guavathread_requests_in_progress", "Requests without an end.", () -> inProgress(0));
         context.metrics()
                 .gauge(
                         "guavathread_crash_suspects",
@@ -260,49 +283,16 @@
         return callers;
     }
 
-    private double inProgress() {
-        return callOnLoop(router::inProgress, 0);
-    }
-
-    private PageServer.Page statePage(PageServer.Query query) {
-        StateRelay.Known known;
-        try {
-            known = StateRelay.Known.of(query);
-        } catch (NumberFormatException e) {
-            Logger.warn("A request for the published state cannot be read: {}.", e.getMessage());
-            return PageServer.Page.empty(400);
-        }
-        return page(() -> new StateRelay().encode(context.state(), known, clock.nowMillis()));
-    }
-
-    private PageServer.Page permitPage(PageServer.Query query) {
-        BackendServerId server;
-        double perSecond;
-        try {
-            server = new BackendServerId(query.parameter(PermitRelay.SERVER));
-            perSecond = Double.parseDouble(query.parameter(PermitRelay.PER_SECOND));
-        } catch (IllegalArgumentException e) {
-            Logger.warn("A question for a permit cannot be read: {}.", e.getMessage());
-            return PageServer.Page.empty(400);
-        }
-        return page(() -> new PermitRelay()
-                .encode(new PermitRelay.Grant(context.serverLimits().grant(server, perSecond, clock.nowMillis()))));
-    }
-
-    private PageServer.Page originPage(PageServer.Query query) {
-        long attempt;
-        try {
-            attempt = OriginRelay.attemptOf(query);
-        } catch (NumberFormatException e) {
-            Logger.warn("A question for the origin of a stream cannot be read: {}.", e.getMessage());
-            return PageServer.Page.empty(400);
-        }
-        return page(() -> origins.answer(attempt));
+    /** Returns the requests without an end, also those that this host relays for another one. */
+    private int inProgress(int fallback) {
+        return callOnLoop(() -> router.inProgress() + relay.inProgress(), fallback);
     }
 
-    private PageServer.Page page(Supplier<byte[]> content) {
-        byte[] bytes = callOnLoop(content, new byte[0]);
-        return new PageServer.Page(bytes.length == 0 ? 503 : 200, "application/msgpack", bytes);
+    private byte[] permitPage(PageServer.Query query) {
+        BackendServerId server = new BackendServerId(query.parameter(PermitRelay.SERVER));
+        double perSecond = Double.parseDouble(query.parameter(PermitRelay.PER_SECOND));
+        return new PermitRelay()
+                .encode(new PermitRelay.Grant(context.serverLimits().grant(server, perSecond, clock.nowMillis())));
     }
 
     private <T> T callOnLoop(Supplier<T> query, T fallback) {
@@ -378,7 +368,9 @@
         if (settings.prefillShare() >= 0) {
             roleCoordinator.step(reporter.phase());
         }
-        entry.update(fleet, reporter.phase(), settings.dataCentre(), clock.nowMillis());
+        reach.step();
+        reporter.cutOff(reach.isCutOff());
+        entry.update(fleet, reporter.phase(), reach.isCutOff(), settings.dataCentre(), clock.nowMillis());
     }
 
     /**
@@ -393,6 +385,7 @@
         context.loop().execute(() -> {
             context.drain().begin(endAtMillis - ANSWER_MARGIN_MILLIS);
             reporter.phase(HostPhase.LEAVING);
+            relay.stopAccepting();
             step();
         });
         awaitIdle(drainStartedAtMillis + MIN_DRAIN_MILLIS, endAtMillis);
@@ -404,7 +397,7 @@
         context.log()
                 .entry("stop")
                 .with("outcome", "ended")
-                .with("unfinished", callOnLoop(router::inProgress, -1))
+                .with("unfinished", inProgress(-1))
                 .with("millis", clock.nowMillis() - drainStartedAtMillis)
                 .write();
         context.log().stop();
@@ -413,7 +406,7 @@
     /** Waits until no request is in progress, but until the first time at least and the second one at most. */
     private void awaitIdle(long fromMillis, long untilMillis) {
         while (clock.nowMillis() < untilMillis) {
-            boolean idle = callerServer.receiving() == 0 && callOnLoop(router::inProgress, 1) == 0;
+            boolean idle = callerServer.receiving() == 0 && inProgress(1) == 0;
             if (idle && clock.nowMillis() >= fromMillis) {
                 return;
             }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/BackendClient.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/BackendClient.java
@@ -1,14 +1,14 @@
 package org.guavathread.gateway.call;
 
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 import org.guavathread.core.registry.Worker;
-import org.guavathread.gateway.loop.EventLoop;
+import org.guavathread.core.routing.ServiceName;
+import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.router.http.HttpCall;
-import org.guavathread.router.http.HttpClient;
 import org.guavathread.router.http.HttpExchangeException;
 import org.guavathread.router.http.HttpHead;
 import org.guavathread.router.http.HttpRequest;
@@ -16,15 +16,18 @@
 import org.guavathread.router.http.HttpStep;
 import org.guavathread.router.http.RequestNotSentException;
 
-/** Sends requests to backend servers and delivers their answers on the event loop's thread. */
+/**
+ * Sends requests to backend servers and delivers their answers on the event loop's thread. While the servers of a service
+ * are out of this host's reach, requests go through another host.
+ */
 final class BackendClient {
 
-    private final EventLoop loop;
-    private final HttpClient client;
+    private final GatewayContext context;
+    private final Relays relays;
 
-    BackendClient(EventLoop loop, HttpClient client) {
-        this.loop = loop;
-        this.client = client;
+    BackendClient(GatewayContext context, Relays relays) {
+        this.context = context;
+        this.relays = relays;
     }
 
     /** Receives a streamed answer on the event loop's thread. */
@@ -39,23 +42,106 @@
         void onFailure(HttpExchangeException failure);
     }
 
+    /** Returns whether this host, or another one for it, can connect to servers of a service. */
+    boolean isReachable(ServiceName service) {
+        return !context.isOutOfReach(service) || relays.next(Set.of()).isPresent();
+    }
+
     /** Sends a request and buffers the complete answer. */
     HttpCall send(Worker worker, HttpRequest request, Consumer<HttpResponse> onAnswer, Consumer<Throwable> onFailure) {
-        CompletableFuture<HttpResponse> answer = client.send(worker.address(), request);
-        BiConsumer<HttpResponse, Throwable> deliver = (complete, failure) -> loop.execute(() -> {
+        if (context.isOutOfReach(worker.service())) {
+            return new RelayedCall.Whole(context, relays, worker, request, onAnswer, onFailure).begin();
+        }
+        long openedAtMillis = context.loop().nowMillis();
+        ReplaceableCall call = new ReplaceableCall();
+        call.replace(sendTo(
+                context,
+                worker.address(),
+                request,
+                answer -> {
+                    context.reach().connected(worker.id(), openedAtMillis);
+                    onAnswer.accept(answer);
+                },
+                failure -> {
+                    if (!call.isCancelled() && isNowOutOfReach(worker, failure)) {
+                        call.replace(
+                                new RelayedCall.Whole(context, relays, worker, request, onAnswer, onFailure).begin());
+                    } else {
+                        onFailure.accept(failure);
+                    }
+                }));
+        return call;
+    }
+
+    /** Sends a request and passes the answer on as it arrives. */
+    HttpCall stream(Worker worker, HttpRequest request, Receiver receiver) {
+        if (context.isOutOfReach(worker.service())) {
+            return new RelayedCall.Streamed(context, relays, worker, request, receiver).begin();
+        }
+        long openedAtMillis = context.loop().nowMillis();
+        ReplaceableCall call = new ReplaceableCall();
+        call.replace(streamFrom(context, worker, worker.address(), request, new Receiver() {
+
+            @Override
+            public void onHead(HttpHead head) {
+                context.reach().connected(worker.id(), openedAtMillis);
+                receiver.onHead(head);
+            }
+
+            @Override
+            public void onBytes(byte[] bytes) {
+                receiver.onBytes(bytes);
+            }
+
+            @Override
+            public void onDone() {
+                receiver.onDone();
+            }
+
+            @Override
+            public void onFailure(HttpExchangeException failure) {
+                if (!call.isCancelled() && isNowOutOfReach(worker, failure)) {
+                    call.replace(new RelayedCall.Streamed(context, relays, worker, request, receiver).begin());
+                } else {
+                    receiver.onFailure(failure);
+                }
+            }
+        }));
+        return call;
+    }
+
+    /** Records a failed send; returns whether the server and others like it are out of this host's reach now. */
+    private boolean isNowOutOfReach(Worker worker, Throwable failure) {
+        if (!isNotConnected(failure)) {
+            return false;
+        }
+        context.reach().notConnected(worker.id(), context.loop().nowMillis());
+        return context.isOutOfReach(worker.service());
+    }
+
+    /** Sends a request to an address and buffers the complete answer. */
+    static HttpCall sendTo(
+            GatewayContext context,
+            SocketAddressText address,
+            HttpRequest request,
+            Consumer<HttpResponse> onAnswer,
+            Consumer<Throwable> onFailure) {
+        CompletableFuture<HttpResponse> answer = context.client().send(address, request);
+        answer.whenComplete((complete, failure) -> context.loop().execute(() -> {
             if (failure == null) {
                 onAnswer.accept(complete);
             } else {
                 onFailure.accept(failure instanceof CompletionException ? failure.getCause() : failure);
             }
-        });
-        answer.whenComplete(deliver);
+        }));
         return () -> answer.cancel(true);
     }
 
-    HttpCall stream(Worker worker, HttpRequest request, Receiver receiver) {
-        AnswerMailbox mailbox = new AnswerMailbox(loop, worker, receiver);
-        HttpCall call = client.stream(worker.address(), request, mailbox);
+    /** Sends a request for a server to an address, its own or that of a relaying host. */
+    static HttpCall streamFrom(
+            GatewayContext context, Worker worker, SocketAddressText address, HttpRequest request, Receiver receiver) {
+        AnswerMailbox mailbox = new AnswerMailbox(context.loop(), worker, receiver);
+        HttpCall call = context.client().stream(address, request, mailbox);
         mailbox.onOverflow(call::cancel);
         return call;
     }
@@ -74,4 +160,25 @@
     static boolean isConnectionLost(Throwable failure) {
         return failure instanceof HttpExchangeException && !isNotSent(failure) && failure.getCause() != null;
     }
+
+    /** A call whose exchange is replaced by one through another host. */
+    private static final class ReplaceableCall implements HttpCall {
+
+        private HttpCall current = () -> {};
+        private boolean cancelled;
+
+        private void replace(HttpCall next) {
+            current = next;
+        }
+
+        private boolean isCancelled() {
+            return cancelled;
+        }
+
+        @Override
+        public void cancel() {
+            cancelled = true;
+            current.cancel();
+        }
+    }
 }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineResources.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineResources.java
@@ -9,6 +9,7 @@
 import org.guavathread.core.routing.ServiceTerms.EngineTerms;
 import org.guavathread.gateway.protocol.EngineReservation;
 import org.guavathread.gateway.protocol.PrefillResult;
+import org.guavathread.router.http.HttpRequest;
 
 /** Resources that one language request holds at engines: its load, a memory reservation and a prefilled KV cache. */
 final class EngineResources {
@@ -18,13 +19,15 @@
 
     private final GatewayContext context;
     private final EngineTerms engineTerms;
+    private final BackendClient backendClient;
     private ServerLoads.Ticket prefillTicket;
     private ServerLoads.Ticket runTicket;
     private Optional<PrefillResult> prefillResult = Optional.empty();
     private Optional<EngineReservation> reservation = Optional.empty();
 
-    EngineResources(GatewayContext context, EngineTerms engineTerms) {
+    EngineResources(GatewayContext context, EngineTerms engineTerms, BackendClient backendClient) {
         this.context = context;
+        this.backendClient = backendClient;
         this.engineTerms = engineTerms;
     }
 
@@ -106,19 +109,24 @@
     }
 
     private void freeKvCache() {
-        prefillResult.ifPresent(p -> context.client()
-                .send(p.engine().address(), context.backendProtocol().freeKvCache(p)));
+        prefillResult.ifPresent(
+                p -> sendAndForget(p.engine(), context.backendProtocol().freeKvCache(p)));
         prefillResult = Optional.empty();
     }
 
     void releaseReservation() {
         reservation
                 .filter(r -> now() < r.expiresAtMillis())
-                .ifPresent(r -> context.client()
-                        .send(r.engine().address(), context.backendProtocol().releaseReservation(r)));
+                .ifPresent(
+                        r -> sendAndForget(r.engine(), context.backendProtocol().releaseReservation(r)));
         reservation = Optional.empty();
     }
 
+    /** Gives something back; if that fails, it expires soon. */
+    private void sendAndForget(Worker engine, HttpRequest request) {
+        backendClient.send(engine, request, answer -> {}, failure -> {});
+    }
+
     private long now() {
         return context.loop().nowMillis();
     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/GatewayContext.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/GatewayContext.java
@@ -10,7 +10,9 @@
 import org.guavathread.core.dispatch.ServerHealth;
 import org.guavathread.core.dispatch.ServerLimits;
 import org.guavathread.core.dispatch.ServerLoads;
+import org.guavathread.core.dispatch.ServerReach;
 import org.guavathread.core.publish.PublishedState;
+import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.share.FairShareTracker;
 import org.guavathread.core.share.SharedRetryBudget;
 import org.guavathread.core.share.SharedTokenLimits;
@@ -31,6 +33,7 @@
  * @param retries retry budget
  * @param loads current load of the backend servers
  * @param health health of the backend servers, from the outcomes of earlier requests
+ * @param reach which servers this host can connect to
  * @param serverLimits request rates that backend servers state
  * @param plainDispatch selects servers for plain requests
  * @param engineDispatch selects engines for language requests
@@ -52,6 +55,7 @@
         SharedRetryBudget retries,
         ServerLoads loads,
         ServerHealth health,
+        ServerReach reach,
         ServerLimits serverLimits,
         PlainDispatch plainDispatch,
         EngineDispatch engineDispatch,
@@ -63,4 +67,17 @@
         BackendProtocol backendProtocol,
         DecisionLog log,
         GatewayMetrics metrics,
-        RandomGenerator random) {}
+        RandomGenerator random) {
+
+    /**
+     * Tells whether this host cannot connect to the servers of a service, or to any server.
+     *
+     * @param service the service
+     * @return true if requests to them have to go through another host
+     */
+    public boolean isOutOfReach(ServiceName service) {
+        long now = loop.nowMillis();
+        return reach.isOutOfReach(state.registry().usable(service), now)
+                || reach.isOutOfReach(state.registry().usable(), now);
+    }
+}
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
@@ -49,6 +49,10 @@
         if (refusedAsCrashSuspect()) {
             return;
         }
+        if (!backendClient.isReachable(admitted.service())) {
+            refuseFull("No host reaches a backend server of service " + admitted.service() + ".");
+            return;
+        }
         Optional<Worker> chosen = context.plainDispatch().choose(candidates(), tried, now());
         if (chosen.isEmpty()) {
             refuseWithoutServer();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
@@ -125,13 +125,14 @@
      * @param load exchanges engine load with other hosts
      * @param permits grants requests to servers that state a limit
      * @param origins knows the software versions at which streams began
+     * @param relays the hosts that send requests to servers out of this host's reach
      */
-    public RequestRouter(GatewayContext context, FleetLoad load, Permits permits, Origins origins) {
+    public RequestRouter(GatewayContext context, FleetLoad load, Permits permits, Origins origins, Relays relays) {
         this.context = context;
         this.load = load;
         this.permits = permits;
         this.origins = origins;
-        this.backendClient = new BackendClient(context.loop(), context.client());
+        this.backendClient = new BackendClient(context, relays);
     }
 
     /**
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -17,7 +17,6 @@
 import org.guavathread.core.routing.ServiceTerms.EngineTerms;
 import org.guavathread.core.routing.WorkspaceTerms;
 import org.guavathread.core.stream.StreamProgress;
-import org.guavathread.gateway.loop.EventLoop;
 import org.guavathread.gateway.protocol.AnswerMeaning;
 import org.guavathread.gateway.protocol.EngineReservation;
 import org.guavathread.gateway.protocol.PrefillResult;
@@ -64,8 +63,7 @@
     private final EngineSelection selection;
     private final Supplier<Refusal> drainRefusal;
     private final RequestRouter.Origins origins;
-    private final StreamProgress progress;
-    private EventLoop.Timer stallTimer;
+    private final StallWatch stallWatch;
     private CallerExchange.StreamBody out;
     private Optional<String> contentType = Optional.empty();
     private Optional<String> lastEventId;
@@ -89,15 +87,18 @@
         super(context, admitted, permits, onEnd);
         this.drainRefusal = drainRefusal;
         this.origins = origins;
-        this.progress = new StreamProgress(
-                admitted.rule().targetMillis(),
-                admitted.rule().maxPauseMillis(),
-                admitted.rule().mayRunAgain());
+        this.stallWatch = new StallWatch(
+                context.loop(),
+                new StreamProgress(
+                        admitted.rule().targetMillis(),
+                        admitted.rule().maxPauseMillis(),
+                        admitted.rule().mayRunAgain()),
+                () -> mayRunOnceMore() && hasUntriedEngine());
         this.capacityQueue = capacityQueue;
         this.backendClient = backendClient;
         this.engineTerms = engineTerms;
         this.work = work;
-        this.resources = new EngineResources(context, engineTerms);
+        this.resources = new EngineResources(context, engineTerms, backendClient);
         this.selection =
                 new EngineSelection(context, engineTerms, admitted.rule().targetMillis());
         this.lastEventId = request().lastEventId();
@@ -154,7 +155,7 @@
     @Override
     void release() {
         resources.removeLoad();
-        cancelStallTimer();
+        stallWatch.stop();
         if (isEnded()) {
             resources.releaseUnused();
             capacityQueue.ended(this);
@@ -191,6 +192,10 @@
         if (out == null && refusedAsCrashSuspect()) {
             return;
         }
+        if (!backendClient.isReachable(admitted.service())) {
+            giveUp("No host reaches an engine of service " + admitted.service() + ".");
+            return;
+        }
         if (out == null && !hasRun() && !canEndBeforeThisHost()) {
             refuse(drainRefusal.get());
             return;
@@ -451,7 +456,7 @@
                 .with("remainingMillis", remainingMillis())
                 .write();
         EngineRun run = new EngineRun(this, worker);
-        scheduleStallCheck(progress.requested(now(), expectedMillis), run);
+        stallWatch.requested(run, expectedMillis);
         setRunCall(backendClient.stream(
                 worker,
                 context.backendProtocol()
@@ -459,28 +464,6 @@
                 run));
     }
 
-    private void scheduleStallCheck(long atMillis, EngineRun run) {
-        cancelStallTimer();
-        stallTimer = context.loop().schedule(atMillis, () -> {
-            if (isEnded() || run.isFinished()) {
-                return;
-            }
-            boolean mayResume = mayRunOnceMore() && hasUntriedEngine();
-            if (!mayResume && now() < progress.endsAtMillis()) {
-                scheduleStallCheck(progress.endsAtMillis(), run);
-            } else {
-                run.failed("stalled", true);
-            }
-        });
-    }
-
-    private void cancelStallTimer() {
-        if (stallTimer != null) {
-            stallTimer.cancel();
-            stallTimer = null;
-        }
-    }
-
     private boolean hasUntriedEngine() {
         return servers().stream().anyMatch(w -> w.stage().generates() && !tried.contains(w.id()));
     }
@@ -557,7 +540,7 @@
         if (isProgress) {
             resources.prefillCompleted();
             lastEventAtMillis = now();
-            scheduleStallCheck(progress.event(now()), run);
+            stallWatch.event(run);
         }
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
@@ -67,6 +67,7 @@
     private long sentAtMillis;
     private long summedAtMillis;
     private boolean reportScheduled;
+    private boolean cutOff;
     private int forwardedReports = MAX_FORWARDED_REPORTS;
     private RequestRouter router;
 
@@ -98,6 +99,18 @@
         }
     }
 
+    /**
+     * Reports whether servers are out of this host's reach.
+     *
+     * @param isCutOff true if it serves some requests through other hosts only
+     */
+    public void cutOff(boolean isCutOff) {
+        if (cutOff != isCutOff) {
+            cutOff = isCutOff;
+            reportEarly();
+        }
+    }
+
     /**
      * Returns this host's phase.
      *
@@ -161,7 +174,8 @@
 
     @Override
     public boolean othersServe() {
-        return !fleet.callerAddresses(identity.dataCentre(), context.loop().nowMillis())
+        return !fleet.callerAddresses(
+                        identity.dataCentre(), cutOff, context.loop().nowMillis())
                 .isEmpty();
     }
 
@@ -330,6 +344,7 @@
                 context.health()
                         .serversNotConnected(context.state().registry().ids().size(), nowMillis),
                 context.crashSuspects().report(nowMillis),
-                context.serverLimits().report(nowMillis));
+                context.serverLimits().report(nowMillis),
+                cutOff);
     }
 }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
@@ -249,6 +249,7 @@
         }
         if (!changes.isEmpty()) {
             context.health().retain(context.state().registry().ids());
+            context.reach().retain(context.state().registry().ids());
             context.serverLimits().retain(context.state().registry().ids());
             onChange.run();
         }
--- a/guavathread-router/src/main/java/org/guavathread/router/http/HttpRequest.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/HttpRequest.java
@@ -72,6 +72,46 @@
         return new Builder(method, path);
     }
 
+    /**
+     * Tells whether the client sets a header itself, so that a request cannot contain it.
+     *
+     * @param header name of the header, in any case
+     * @return true for headers that concern the connection or the framing
+     */
+    public static boolean isReserved(String header) {
+        return RESERVED_HEADERS.contains(header.toLowerCase(Locale.ROOT));
+    }
+
+    /**
+     * Starts a copy of this request for another peer.
+     *
+     * @param defaultHost value of the Host header if this request names none
+     * @return a builder with all values of this request
+     */
+    public Builder toBuilder(String defaultHost) {
+        Builder copy = new Builder(values.method, values.path);
+        copy.headers.putAll(values.headers);
+        copy.body = values.body;
+        copy.deadlineMillis = values.deadlineMillis;
+        copy.sendDeadlineMillis = values.sendDeadlineMillis;
+        copy.inactivityTimeoutMillis = values.inactivityTimeoutMillis;
+        copy.maxResponseBytes = values.maxResponseBytes;
+        copy.repeatable = values.repeatable;
+        copy.virtualHost = values.virtualHost == null ? defaultHost : values.virtualHost;
+        copy.closeDelimitedResponseAccepted = values.closeDelimitedResponseAccepted;
+        return copy;
+    }
+
+    /**
+     * Returns the time until the deadline.
+     *
+     * @param nowMillis the current time
+     * @return milliseconds; {@link Long#MAX_VALUE} if there is no deadline
+     */
+    public long remainingMillis(long nowMillis) {
+        return values.deadlineMillis == Long.MAX_VALUE ? Long.MAX_VALUE : values.deadlineMillis - nowMillis;
+    }
+
     String method() {
         return values.method;
     }
@@ -160,8 +200,7 @@
          * @throws IllegalArgumentException if the header is set by the client or would break the message
          */
         public Builder header(String name, String value) {
-            if (!name.matches("[A-Za-z0-9!#$%&'*+.^_`|~-]+")
-                    || RESERVED_HEADERS.contains(name.toLowerCase(Locale.ROOT))) {
+            if (!name.matches("[A-Za-z0-9!#$%&'*+.^_`|~-]+") || isReserved(name)) {
                 throw new IllegalArgumentException(
                         "The header \"" + name + "\" cannot be set; use another name than " + RESERVED_HEADERS + ".");
             }
