Answer what still runs before a stopping host ends

Now a request that may run only once is left to other hosts, refused as not run at once, unless it must end in time; what is accepted is given no more time than the host has; and what still runs at the end, also since before the stop, is answered as unknown (504) or, if it has not run, as not run (503). A stream whose events have begun can only be cut off.

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/DrainAdmission.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/DrainAdmission.java
@@ -27,6 +27,15 @@
         endsAtMillis = Math.min(endsAtMillis, endMillis);
     }
 
+    /**
+     * Returns when the process ends at the latest; an accepted request must have its answer by then.
+     *
+     * @return the time, or {@link Long#MAX_VALUE} while the process does not stop
+     */
+    public long endsAtMillis() {
+        return endsAtMillis;
+    }
+
     /** Refuses all further requests; called when the process is about to end. */
     public void refuseAll() {
         refusesAll = true;
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -391,7 +391,10 @@
         awaitIdle(drainStartedAtMillis + MIN_DRAIN_MILLIS, endAtMillis);
         // Requests that are in transit now were accepted by the operating system; they are refused, not cut off.
         callerServer.stopAccepting();
-        context.loop().execute(() -> context.drain().refuseAll());
+        context.loop().execute(() -> {
+            context.drain().refuseAll();
+            router.endUnfinished();
+        });
         long transitEndMillis = clock.nowMillis() + REFUSE_IN_TRANSIT_MILLIS;
         awaitIdle(transitEndMillis, Math.max(transitEndMillis, endAtMillis));
         context.log()
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/AdmittedRequest.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/AdmittedRequest.java
@@ -32,4 +32,15 @@
         double charge,
         List<CrashTrait> crashTraits,
         boolean isCrashTest,
-        long deadlineMillis) {}
+        long deadlineMillis) {
+
+    /** Returns until when a caller waits at a route, whether this host lasts as long or not. */
+    static long callerDeadlineMillis(CallerExchange exchange, CallerRequest request, RouteRule rule) {
+        return Math.min(request.deadlineMillis(), exchange.arrivedAtMillis() + rule.timeoutMillis());
+    }
+
+    /** Returns until when the caller waits, whether this host lasts as long or not. */
+    long callerDeadlineMillis() {
+        return callerDeadlineMillis(exchange, request, rule);
+    }
+}
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
@@ -79,6 +79,13 @@
         }
     }
 
+    /** Answers the request before this host ends; whether it has run cannot be known later. */
+    void hostEnds() {
+        if (!ended) {
+            deadlinePassed();
+        }
+    }
+
     private void callerGone() {
         if (!ended) {
             end("caller gone", 0);
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
@@ -38,6 +38,9 @@
     /** Upper bound, before jitter, of the Retry-After of a rate-limited request. */
     private static final long MAX_RATE_LIMIT_RETRY_AFTER_MILLIS = 5_000;
 
+    /** Expected duration of a request of which only the deadline is known. */
+    private static final long UNKNOWN_DURATION_MILLIS = Long.MAX_VALUE / 4;
+
     /** Retry-After of a request that this host has no time to look at. */
     private static final long OVERLOADED_RETRY_AFTER_MILLIS = 1_000;
 
@@ -144,6 +147,11 @@
         return calls.size();
     }
 
+    /** Answers the requests in progress as far as that can be done now, since the process ends. */
+    public void endUnfinished() {
+        List.copyOf(calls).forEach(Call::hostEnds);
+    }
+
     /**
      * Returns the number of requests that wait for engine capacity.
      *
@@ -243,11 +251,13 @@
             refuse(exchange, request.attemptId(), refusal);
             return;
         }
-        long deadlineMillis = Math.min(request.deadlineMillis(), exchange.arrivedAtMillis() + rule.timeoutMillis());
-        if (!context.drain().accepts(now, deadlineMillis, expectedMillis(request, rule))) {
+        long callerDeadlineMillis = AdmittedRequest.callerDeadlineMillis(exchange, request, rule);
+        if (!context.drain().accepts(now, callerDeadlineMillis, expectedMillis(request, rule))) {
             refuse(exchange, request.attemptId(), drainRefusal(now));
             return;
         }
+        // One that takes longer than expected is answered while this host can still do so.
+        long deadlineMillis = Math.min(callerDeadlineMillis, context.drain().endsAtMillis());
         int tokens = request.work().map(EngineWork::chargedTokens).orElse(0);
         double charge = workspace.map(w -> w.costOf(tokens)).orElse(0.0);
         long waitMillis =
@@ -281,9 +291,17 @@
         start(admitted, table);
     }
 
-    /** Returns how long a request is expected to take: a language request by the size of its answer. */
+    /**
+     * Returns how long a request is expected to take: a language request by the size of its answer. While another host
+     * serves callers, a request that may run only once is expected to take as long as it possibly can.
+     */
     private long expectedMillis(CallerRequest request, RouteRule rule) {
-        int tokens = request.work().map(EngineWork::expectedOutputTokens).orElse(0);
+        Optional<EngineWork> work = request.work();
+        if (!rule.mayRunAgain() && load.othersServe()) {
+            return work.map(w -> context.answerPace().expectedRequestMillis(rule.targetMillis(), w.maxOutputTokens()))
+                    .orElse(UNKNOWN_DURATION_MILLIS);
+        }
+        int tokens = work.map(EngineWork::expectedOutputTokens).orElse(0);
         return context.answerPace().expectedRequestMillis(rule.targetMillis(), tokens);
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -220,7 +220,7 @@
     private boolean canEndBeforeThisHost() {
         long expectedMillis =
                 context.answerPace().expectedRequestMillis(admitted.rule().targetMillis(), work.expectedOutputTokens());
-        return context.drain().accepts(now(), admitted.deadlineMillis(), expectedMillis);
+        return context.drain().accepts(now(), admitted.callerDeadlineMillis(), expectedMillis);
     }
 
     private FairAdmissionQueue.Attributes waitingPlace() {
