Look for servers out of reach only after a failed connection

With 1,300 servers, each message and each tick went through lists of all servers. Without a failed connection in the last 3 s nothing is out of reach, so that a calm host does none of it; the monitor looks at each service once. A take-up does not wait for the history of a store that is known to be away. The server for other hosts has a name of its own in logs.

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerReach.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerReach.java
@@ -26,6 +26,7 @@
 
     private final Map<BackendServerId, Long> failedAtMillis = new HashMap<>();
     private final Map<BackendServerId, Long> connectedAtMillis = new HashMap<>();
+    private long latestFailureMillis = -FAILURE_VALIDITY_MILLIS;
 
     /**
      * Records that a server could be connected to.
@@ -45,6 +46,17 @@
      */
     public void notConnected(BackendServerId server, long nowMillis) {
         failedAtMillis.put(server, nowMillis);
+        latestFailureMillis = nowMillis;
+    }
+
+    /**
+     * Tells whether a connection has failed lately; otherwise no servers are out of reach, whichever they are.
+     *
+     * @param nowMillis the current time
+     * @return true if failures have to be looked at
+     */
+    public boolean hasRecentFailures(long nowMillis) {
+        return nowMillis - latestFailureMillis < FAILURE_VALIDITY_MILLIS;
     }
 
     /**
--- a/guavathread-core/src/main/java/org/guavathread/core/registry/WorkerRegistry.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/registry/WorkerRegistry.java
@@ -171,6 +171,15 @@
         return Optional.of(seen);
     }
 
+    /**
+     * Tells whether the source of the entries answers.
+     *
+     * @return false during an outage
+     */
+    public boolean isSourceReachable() {
+        return !outage;
+    }
+
     /**
      * Returns the record of versions of servers that have left.
      *
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/ServerReachTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/ServerReachTest.java
@@ -89,7 +89,8 @@
     @Test
     void oldFailuresDoNotCount() {
         IntStream.range(0, 6).forEach(i -> reach.notConnected(id(i), 1_000));
-        assertTrue(reach.isOutOfReach(servers(6), 3_999));
+        assertTrue(reach.isOutOfReach(servers(6), 3_999) && reach.hasRecentFailures(3_999));
+        assertFalse(reach.hasRecentFailures(4_000));
         assertFalse(reach.isOutOfReach(servers(6), 4_000));
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -245,6 +245,7 @@
                         query -> origins.answer(OriginRelay.attemptOf(query))),
                 relay::accept);
         supervisor.add(new CallerServer(settings.listenPeers(), ids, clock, pauses, peers::accept)
+                .named("peers")
                 .bounds(() -> new CallerBounds(
                         MAX_PEER_HEAD_BYTES, callerBounds.maxBodyBytes(), PEER_HEAD_MILLIS, PEER_IDLE_MILLIS)));
         supervisor.add(new PageServer(
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/GatewayContext.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/GatewayContext.java
@@ -77,7 +77,8 @@
      */
     public boolean isOutOfReach(ServiceName service) {
         long now = loop.nowMillis();
-        return reach.isOutOfReach(state.registry().usable(service), now)
-                || reach.isOutOfReach(state.registry().usable(), now);
+        return reach.hasRecentFailures(now)
+                && (reach.isOutOfReach(state.registry().usable(service), now)
+                        || reach.isOutOfReach(state.registry().usable(), now));
     }
 }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/OriginDirectory.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/OriginDirectory.java
@@ -216,6 +216,10 @@
                 end("several versions", Optional.empty());
                 return;
             }
+            if (!context.state().registry().isSourceReachable()) {
+                end("unknown", Optional.empty());
+                return;
+            }
             history.read(maxAgeMillis, () -> {
                 Optional<SoftwareVersion> only = onlyVersion();
                 end(only.isPresent() ? "only version by the store's history" : "unknown", only);
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/ReachMonitor.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/ReachMonitor.java
@@ -47,10 +47,16 @@
     /** Updates what is out of reach, and sends the probe that is due. */
     public void step() {
         long now = context.loop().nowMillis();
-        List<Worker> lost = context.state().registry().usable().stream()
-                .filter(w -> context.isOutOfReach(w.service()))
-                .toList();
-        Set<ServiceName> services = lost.stream().map(Worker::service).collect(Collectors.toSet());
+        List<Worker> servers = context.reach().hasRecentFailures(now)
+                ? context.state().registry().usable()
+                : List.of();
+        Set<ServiceName> services = servers.stream()
+                .map(Worker::service)
+                .distinct()
+                .filter(context::isOutOfReach)
+                .collect(Collectors.toSet());
+        List<Worker> lost =
+                servers.stream().filter(w -> services.contains(w.service())).toList();
         if (!services.equals(outOfReach)) {
             outOfReach = services;
             context.log()
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/CallerServer.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/CallerServer.java
@@ -50,6 +50,7 @@
     private final HttpServer server = new HttpServer();
     private final ConnectionGuard guard;
     private Supplier<CallerBounds> bounds = () -> CallerLimits.DEFAULT_BOUNDS;
+    private String name = "callers";
     private final Map<BodyReader, Boolean> receiving = new ConcurrentHashMap<>();
     private final ScheduledExecutorService housekeeping =
             Executors.newSingleThreadScheduledExecutor(CallerServer::housekeepingThread);
@@ -88,14 +89,25 @@
         return this;
     }
 
+    /**
+     * Replaces the name of the server in logs.
+     *
+     * @param next who calls it, for example {@code "peers"}
+     * @return this server
+     */
+    public CallerServer named(String next) {
+        name = next;
+        return this;
+    }
+
     @Override
     public String name() {
-        return "caller-server";
+        return name + "-server";
     }
 
     @Override
     public void start() {
-        NetworkListener listener = new NetworkListener("callers", listen.ip(), listen.port());
+        NetworkListener listener = new NetworkListener(name, listen.ip(), listen.port());
         // The guard applies the bounds in force, which may change; those of the listener are fixed at its start.
         listener.setMaxHttpHeaderSize(CallerLimits.MAX_HEADER_BYTES);
         listener.getKeepAlive().setIdleTimeoutInSeconds(-1);
@@ -110,7 +122,7 @@
         try {
             server.start();
         } catch (IOException e) {
-            throw new UncheckedIOException("Cannot listen for callers on " + listen + ": " + e.getMessage(), e);
+            throw new UncheckedIOException("Cannot listen for " + name + " on " + listen + ": " + e.getMessage(), e);
         }
         housekeeping.scheduleWithFixedDelay(
                 this::expire, HOUSEKEEPING_INTERVAL_MILLIS, HOUSEKEEPING_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
