Let no server speak for the relaying host, and name hosts that lost one service only

A faulty server could have put the relay's own header into its answer and so have said that a request was not sent that had run; own headers are taken out of servers' answers now (serverCannotSayThatItsRequestWasNotSent). A server that the relaying host does not use made the relay look unavailable; it counts as not sent. A host counts as cut off only if all services are out of its reach: when the servers of one service crash together, hosts notice it one after the other, and callers would have been sent to the last one to notice.

--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
@@ -32,7 +32,7 @@
  * @param unreachable backend servers to which it cannot connect
  * @param crashed evidence of requests that crash backend servers, its own and what it learned from other hosts
  * @param limits limits that backend servers stated in their answers to this host
- * @param isCutOff whether it cannot connect to the servers of a service, and so cannot relay requests
+ * @param isCutOff whether it cannot connect to any backend server
  */
 public record HostReport(
         HostId host,
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RelayProtocol.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RelayProtocol.java
@@ -147,6 +147,8 @@
     static Map<String, String> headersOfAnswer(HttpHead head) {
         Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
         head.headers().forEach((name, values) -> headers.put(name, String.join(", ", values)));
+        // A server must not be able to say that its request was not sent.
+        headers.keySet().removeIf(RelayProtocol::isOwn);
         if (head.header("Content-Length").isEmpty()
                 && head.header(TRANSFER_ENCODING).isEmpty()) {
             headers.put(CLOSE_DELIMITED, "1");
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerRelay.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerRelay.java
@@ -59,11 +59,17 @@
      * @param server the server that it is for
      */
     public void accept(CallerExchange exchange, BackendServerId server) {
-        Optional<Worker> worker = context.state().registry().find(server).filter(w -> !w.draining());
-        if (!accepts || worker.isEmpty() || context.isOutOfReach(worker.get().service())) {
+        Optional<Worker> worker = context.state().registry().usable().stream()
+                .filter(w -> w.id().equals(server))
+                .findFirst();
+        if (!accepts || worker.isPresent() && context.isOutOfReach(worker.get().service())) {
             answerFailure(exchange, RelayProtocol.Failure.UNAVAILABLE);
             return;
         }
+        if (worker.isEmpty()) {
+            answerFailure(exchange, RelayProtocol.Failure.NOT_SENT);
+            return;
+        }
         HttpRequest request;
         try {
             request = requestOf(exchange);
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
@@ -100,9 +100,9 @@
     }
 
     /**
-     * Reports whether servers are out of this host's reach.
+     * Reports whether all servers are out of this host's reach.
      *
-     * @param isCutOff true if it serves some requests through other hosts only
+     * @param isCutOff true if it serves requests through other hosts only
      */
     public void cutOff(boolean isCutOff) {
         if (cutOff != isCutOff) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/ReachMonitor.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/ReachMonitor.java
@@ -24,6 +24,7 @@
 
     private final GatewayContext context;
     private Set<ServiceName> outOfReach = Set.of();
+    private boolean isCutOff;
     private long nextProbeMillis;
 
     /**
@@ -36,12 +37,13 @@
     }
 
     /**
-     * Returns whether the servers of a service are out of reach.
+     * Returns whether the servers of all services are out of reach. If those of one service are, the reason may lie with
+     * them, and callers are no better off at another host.
      *
-     * @return true if this host serves some requests through other hosts only
+     * @return true if this host serves requests through other hosts only
      */
     public boolean isCutOff() {
-        return !outOfReach.isEmpty();
+        return isCutOff;
     }
 
     /** Updates what is out of reach, and sends the probe that is due. */
@@ -55,6 +57,7 @@
                 .distinct()
                 .filter(context::isOutOfReach)
                 .collect(Collectors.toSet());
+        isCutOff = !servers.isEmpty() && servers.stream().allMatch(w -> services.contains(w.service()));
         List<Worker> lost =
                 servers.stream().filter(w -> services.contains(w.service())).toList();
         if (!services.equals(outOfReach)) {
