Answer other hosts without blocking the event loop

Found in review of the last changes: answers to other hosts are written on the event loop since the port for them is served by CallerServer, and a whole answer was written in blocking mode. A host that asks for the published state and is cut off before it has read it would have stopped the loop. They are written like callers' answers now, in one place (CallerExchange.answerAsync).

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Refusals.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Refusals.java
@@ -29,13 +29,8 @@
     }
 
     static void write(CallerExchange exchange, Refusal refusal, Map<String, String> headers) {
-        byte[] body = RefusalWriter.body(refusal);
         Map<String, String> all = new LinkedHashMap<>(headers);
         all.put("Content-Type", "application/json");
-        all.put("Content-Length", Integer.toString(body.length));
-        exchange.openStream(refusal.code().httpStatus(), all).ifPresent(out -> {
-            out.write(body);
-            out.finish();
-        });
+        exchange.answerAsync(refusal.code().httpStatus(), all, RefusalWriter.body(refusal));
     }
 }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerRelay.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerRelay.java
@@ -109,7 +109,7 @@
     }
 
     private static void answerFailure(CallerExchange exchange, RelayProtocol.Failure failure) {
-        exchange.answer(STATUS_BAD_GATEWAY, Map.of(RelayProtocol.FAILURE, failure.name()), new byte[0]);
+        exchange.answerAsync(STATUS_BAD_GATEWAY, Map.of(RelayProtocol.FAILURE, failure.name()), new byte[0]);
     }
 
     /** One request until its end. */
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/PeerServer.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/PeerServer.java
@@ -50,7 +50,7 @@
      */
     public void accept(CallerExchange exchange) {
         if (!loop.execute(() -> handle(exchange))) {
-            exchange.answer(STATUS_BUSY, Map.of(), new byte[0]);
+            exchange.answerAsync(STATUS_BUSY, Map.of(), new byte[0]);
         }
     }
 
@@ -62,15 +62,15 @@
         }
         Function<PageServer.Query, byte[]> page = pages.get(exchange.path());
         if (page == null) {
-            exchange.answer(STATUS_NOT_FOUND, Map.of(), new byte[0]);
+            exchange.answerAsync(STATUS_NOT_FOUND, Map.of(), new byte[0]);
             return;
         }
         try {
             byte[] body = page.apply(name -> parameter(exchange.query(), name));
-            exchange.answer(STATUS_OK, Map.of("Content-Type", "application/msgpack"), body);
+            exchange.answerAsync(STATUS_OK, Map.of("Content-Type", "application/msgpack"), body);
         } catch (IllegalArgumentException e) {
             Logger.warn("The request {} of a host cannot be read: {}.", exchange.path(), e.getMessage());
-            exchange.answer(STATUS_BAD_REQUEST, Map.of(), new byte[0]);
+            exchange.answerAsync(STATUS_BAD_REQUEST, Map.of(), new byte[0]);
         }
     }
 
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/CallerExchange.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/CallerExchange.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 
 import org.guavathread.core.id.RequestId;
 import org.guavathread.core.request.Refusal;
@@ -105,6 +106,24 @@
      */
     Optional<StreamBody> openStream(int status, Map<String, String> headers);
 
+    /**
+     * Responds with a complete body without blocking, unlike {@link #answer}, which waits for a caller that reads slowly.
+     *
+     * @param status the HTTP status
+     * @param headers the headers, except the content length
+     * @param body the body
+     */
+    default void answerAsync(int status, Map<String, String> headers, byte[] body) {
+        Map<String, String> all = new TreeMap<>(headers);
+        all.put("Content-Length", Integer.toString(body.length));
+        openStream(status, all).ifPresent(out -> {
+            if (body.length > 0) {
+                out.write(body);
+            }
+            out.finish();
+        });
+    }
+
     /** The body of a streamed response. */
     interface StreamBody {
 
