--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -67,7 +67,6 @@
     private CallerExchange.StreamBody out;
     private Optional<String> contentType = Optional.empty();
     private Optional<String> lastEventId;
-
     private boolean prefillTried;
     private long firstEventAtMillis;
     private long lastEventAtMillis;
