Show that uploads in many chunks are never answered

Claim: a request whose body arrives in about 60 chunks or more at once is neither answered nor closed until the time to receive a body is up, 10 s after its head (CONFIG). BodyReader reads each buffered chunk one stack level deeper, and the network threads have stacks of 256 KB.

Run: review/1/run.sh five times, and once with TROUBLE=0.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# A machine is suspended for some seconds while clients send bodies in chunks.
+cd "$(dirname "$0")/../.." || exit 2
+exec java -Xmx256m -cp target/review ChunkedUploads review/1
