Show that a leaving worker goes on getting requests

Claim: the gateway doesn't read Server-Leaving, so a machine that is partitioned from the store goes on sending requests to a worker that leaves (DRAIN), and those that run when it ends are lost.

--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -14,7 +14,7 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 
-/** The platform's store: items, a revision, and watches. While it turns callers away, it answers 503. */
+/** The platform's store: items, a revision, and watches. While it is cut off, no call is answered. */
 final class Store {
 
     private record Event(long revision, String json) {}
@@ -23,7 +23,7 @@
     private final TreeMap<String, String> items = new TreeMap<>();
     private final List<Event> history = new ArrayList<>();
     private long revision = 100;
-    private boolean turnsAway;
+    private boolean isCut;
 
     Store() throws IOException {
         server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 50);
@@ -58,11 +58,22 @@
         notifyAll();
     }
 
-    synchronized void turnAway(boolean next) {
-        turnsAway = next;
+    /** Cuts the gateways off from the store, or ends the cut; channels that were open in the meantime stay dead. */
+    synchronized void cut(boolean next) {
+        isCut = next;
         notifyAll();
     }
 
+    private synchronized void awaitReachable() throws IOException {
+        while (isCut) {
+            try {
+                wait();
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+        }
+    }
+
     private static Map<String, String> query(HttpExchange exchange) {
         Map<String, String> query = new HashMap<>();
         for (String part : exchange.getRequestURI().getRawQuery().split("&")) {
@@ -76,7 +87,7 @@
         String reply;
         synchronized (this) {
             String after = query(exchange).getOrDefault("after", "");
-            reply = turnsAway
+            reply = isCut
                     ? null
                     : "{\"items\":[" + String.join(",", items.tailMap(after, false).values())
                             + "],\"has_more\":false,\"at\":" + revision + "}";
@@ -90,7 +101,7 @@
         long until = System.currentTimeMillis() + Long.parseLong(query.get("wait_ms"));
         String reply;
         synchronized (this) {
-            while (!turnsAway && revision == after && System.currentTimeMillis() < until) {
+            while (!isCut && revision == after && System.currentTimeMillis() < until) {
                 try {
                     wait(Math.max(1, until - System.currentTimeMillis()));
                 } catch (InterruptedException e) {
@@ -101,16 +112,21 @@
                     .filter(e -> e.revision() > after)
                     .map(Event::json)
                     .toList();
-            reply = turnsAway ? null : "{\"events\":[" + String.join(",", events) + "],\"at\":" + revision + "}";
+            reply = isCut ? null : "{\"events\":[" + String.join(",", events) + "],\"at\":" + revision + "}";
         }
         write(exchange, reply);
     }
 
-    private static void write(HttpExchange exchange, String reply) throws IOException {
-        byte[] body = (reply == null ? "{}" : reply).getBytes(StandardCharsets.UTF_8);
+    private void write(HttpExchange exchange, String reply) throws IOException {
+        if (reply == null) {
+            awaitReachable();
+            exchange.close();
+            return;
+        }
+        byte[] body = reply.getBytes(StandardCharsets.UTF_8);
         exchange.getResponseHeaders().set("Content-Type", "application/json");
         exchange.getResponseHeaders().set("Store-Era", "1");
-        exchange.sendResponseHeaders(reply == null ? 503 : 200, body.length);
+        exchange.sendResponseHeaders(200, body.length);
         exchange.getResponseBody().write(body);
         exchange.close();
     }
