Show that streams are joined from two software versions behind a partition

Claim: a machine that is partitioned from the store continues streams at a worker that has started again under its id at another software version, and passes the joined answers on as complete (ORDER).

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# A worker leaves, and says so in its answers, while the machine is partitioned from the store.
+cd "$(dirname "$0")/../.." || exit 2
+exec java -Xmx256m -cp target/review LeavingWorker review/4
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -3,6 +3,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -33,28 +34,42 @@
     final String id;
     private final String service;
     private final String stage;
+    private final String version;
     private final ServerSocket listener;
     private final Script script;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final long born = System.currentTimeMillis();
     private int sequence = 1;
 
     Worker(String id, String service, String stage, Script script) throws IOException {
+        this(id, service, stage, "v1", 0, script);
+    }
+
+    /** Starts a worker with a software version, at a port or, with 0, at any free one. */
+    Worker(String id, String service, String stage, String version, int port, Script script) throws IOException {
         this.id = id;
         this.service = service;
         this.stage = stage;
+        this.version = version;
         this.script = script;
-        listener = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
+        listener = new ServerSocket();
+        listener.setReuseAddress(true);
+        listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 200);
         thread(this::accept);
     }
 
+    int port() {
+        return listener.getLocalPort();
+    }
+
     /** Returns what the worker writes into the store. */
     String entry(String state) {
         String engine = stage.isEmpty()
                 ? ""
                 : ",\"stage\":\"" + stage + "\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]";
         return "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + listener.getLocalPort()
-                + "\",\"zone\":\"curico\",\"version\":\"v1\",\"slots\":" + (stage.isEmpty() ? 6 : 64) + ",\"state\":\""
-                + state + "\",\"cold_remaining_ms\":0,\"sequence\":" + sequence++ + ",\"born\":1700000000000" + engine
+                + "\",\"zone\":\"curico\",\"version\":\"" + version + "\",\"slots\":" + (stage.isEmpty() ? 6 : 64) + ",\"state\":\""
+                + state + "\",\"cold_remaining_ms\":0,\"sequence\":" + sequence++ + ",\"born\":" + born + engine
                 + "}";
     }
 
