--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# A worker leaves, and says so in its answers, while the machine is partitioned from the store.
+# Two machines are stopped in turn while clients that keep their addresses go on sending streams.
 cd "$(dirname "$0")/../.." || exit 2
-exec java -Xmx256m -cp target/review LeavingWorker review/4
+exec java -Xmx256m -cp target/review StreamsAcrossStop review/4
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Clients send paths that hold a parameter named jsessionid; with TROUBLE=0, one of another name.
+# A worker leaves, and says so in its answers, while the machine is partitioned from the store.
 cd "$(dirname "$0")/../.." || exit 2
-exec java -Xmx256m -cp target/review PathParameters review/5
+exec java -Xmx256m -cp target/review LeavingWorker review/5
