--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
-# A machine is suspended for some seconds while clients send bodies in chunks.
+# A burst of requests with bodies in chunks, which arrive in several segments.
+# With TROUBLE=0 it does the same without the disturbance.
 cd "$(dirname "$0")/../.." || exit 2
-exec java -Xmx256m -cp target/review ChunkedUploads review/1
+exec java -Xmx256m -cp target/review SegmentedBodies review/1
--- a/review/standin/SegmentedBodies.java
+++ b/review/standin/SegmentedBodies.java
@@ -1,3 +1,4 @@
+import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
@@ -8,41 +9,43 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** CONFIG: a burst of requests on kept channels, whose bodies arrive in several segments. */
+/** UNASKED: a burst of requests with bodies in chunks, which arrive in several segments. */
 public final class SegmentedBodies extends Case {
 
-    private static final int CLIENTS = 24;
-    private static final int BURSTS = 2;
+    private static final int CLIENTS = 32;
+    private static final int BURSTS = 4;
     private static final long BEFORE_MILLIS = 5_000;
     private static final long BURST_MILLIS = 10_000;
-    private static final int BODY_BYTES = 4_380;
+    private static final int CHUNKS = 12;
+    private static final int CHUNK_BYTES = 500;
 
-    /** Payload of a segment on an Ethernet link. */
-    private static final int SEGMENT_BYTES = 1_460;
-
-    /** Time that a segment takes on a link of 100 Mbit/s; segments follow each other within this time. */
-    private static final int MAX_GAP_MICROS = 120;
+    /** A client writes its request in pieces of this size, as its producer yields them. */
+    private static final int PIECE_BYTES = 300;
 
+    private static final int MAX_GAP_MICROS = 60;
     private static final int TIMEOUT_MILLIS = 1_000;
     private static final int SLACK_MILLIS = 500;
     private static final int DEADLINE_MILLIS = 3_000;
 
     /** Time that a client waits before its next request; in a burst it sends the next one at once. */
-    private static final int MAX_THINK_MILLIS = 30;
+    private static final int MAX_THINK_MILLIS = 36;
 
-    private final Set<String> runs = ConcurrentHashMap.newKeySet();
+    private final Map<String, byte[]> bodies = new ConcurrentHashMap<>();
+    private final List<String> changed = Collections.synchronizedList(new ArrayList<>());
     private volatile boolean isBurst;
     private final AtomicInteger sent = new AtomicInteger();
     private final AtomicInteger served = new AtomicInteger();
+    private final AtomicInteger closed = new AtomicInteger();
+    private final AtomicInteger refused = new AtomicInteger();
     private final AtomicInteger unanswered = new AtomicInteger();
-    private final AtomicInteger unansweredLater = new AtomicInteger();
 
     private SegmentedBodies(String folder) throws IOException {
         super(folder);
@@ -64,7 +67,12 @@
                         "\"timeout_ms\":" + TIMEOUT_MILLIS + ",\"target_latency_ms\":100,\"max_attempts\":1")));
         for (int i = 1; i <= 4; i++) {
             Worker worker = new Worker("i-" + i, "patio", "", (request, out, socket) -> {
-                runs.add(request.id());
+                byte[] sentBody = bodies.get(request.id());
+                if (sentBody != null && !Arrays.equals(sentBody, request.body())) {
+                    changed.add("CHANGED " + request.id() + ": sent " + sentBody.length + " bytes, run "
+                            + request.body().length + ", the same up to byte "
+                            + Arrays.mismatch(sentBody, request.body()));
+                }
                 Worker.write(out, Worker.sealedHead(request) + "Content-Length: 4\r\n\r\ndone");
             });
             store.put("servers/" + worker.id, worker.entry("ready"));
@@ -93,15 +101,14 @@
             for (Thread client : clients) {
                 client.join();
             }
-            int late = unanswered.get();
-            int none = unansweredLater.get();
-            record(sent + " requests sent, " + served + " served; " + late
-                    + " had no answer at their route's timeout, " + none + " of these none " + SLACK_MILLIS
-                    + " ms later");
+            record(sent + " requests sent, " + served + " served, " + closed + " closed without an answer, " + refused
+                    + " refused as malformed, " + unanswered + " without an answer " + SLACK_MILLIS
+                    + " ms after their route's timeout, " + changed.size() + " run with another body");
+            changed.forEach(this::record);
             if (served.get() < sent.get() / 2) {
                 throw new IllegalStateException("most requests were not served");
             }
-            return none * 2 <= late;
+            return changed.isEmpty();
         } finally {
             gateway.end();
         }
@@ -116,70 +123,66 @@
     private void send(Gateway gateway, int client, long untilNanos) {
         Random random = new Random(client);
         Socket socket = null;
-        int onChannel = 0;
         while (System.nanoTime() < untilNanos) {
             String id = "r" + client + "-" + Long.toHexString(System.nanoTime());
+            byte[] body = new byte[CHUNKS * CHUNK_BYTES];
+            random.nextBytes(body);
+            bodies.put(id, body);
             try {
                 if (socket == null) {
                     socket = new Socket();
                     socket.connect(new InetSocketAddress(gateway.ip, gateway.front()), 1_000);
                     socket.setTcpNoDelay(true);
-                    onChannel = 0;
+                    socket.setSoTimeout(TIMEOUT_MILLIS + SLACK_MILLIS);
                 }
-                onChannel++;
-                write(socket.getOutputStream(), id, random);
                 sent.incrementAndGet();
-                int status = await(socket, id, onChannel);
-                if (status == 0) {
-                    socket.close();
-                    socket = null;
-                } else {
-                    served.addAndGet(status == 200 ? 1 : 0);
-                }
+                write(socket.getOutputStream(), id, body, random);
+                int status = read(socket.getInputStream());
+                (status == 200 ? served : refused).incrementAndGet();
+                bodies.remove(id);
                 Thread.sleep(isBurst ? 0 : random.nextInt(MAX_THINK_MILLIS));
-            } catch (IOException | InterruptedException e) {
-                record(id + ": " + e);
-                socket = null;
+            } catch (SocketTimeoutException e) {
+                unanswered.incrementAndGet();
+                socket = close(socket);
+            } catch (IOException e) {
+                closed.incrementAndGet();
+                socket = close(socket);
+            } catch (InterruptedException e) {
+                return;
             }
         }
     }
 
-    private void write(OutputStream out, String id, Random random) throws IOException {
-        byte[] head = (head("POST", "/bin/1", id, DEADLINE_MILLIS, "Content-Length: " + BODY_BYTES + "\r\n") + "\r\n")
-                .getBytes(StandardCharsets.ISO_8859_1);
-        byte[] body = "x".repeat(BODY_BYTES).getBytes(StandardCharsets.ISO_8859_1);
-        if (!trouble) {
-            byte[] whole = Arrays.copyOf(head, head.length + body.length);
-            System.arraycopy(body, 0, whole, head.length, body.length);
-            out.write(whole);
-            return;
-        }
-        out.write(head);
-        for (int at = 0; at < body.length; at += SEGMENT_BYTES) {
-            long nextNanos = System.nanoTime() + random.nextInt(MAX_GAP_MICROS) * 1_000L;
-            while (System.nanoTime() < nextNanos) {
-                Thread.onSpinWait();
+    private static Socket close(Socket socket) {
+        try {
+            if (socket != null) {
+                socket.close();
             }
-            out.write(body, at, Math.min(SEGMENT_BYTES, body.length - at));
+        } catch (IOException e) {
+            // It is closed in any case.
         }
+        return null;
     }
 
-    /** Returns the status of the answer, or 0 if there is none soon after the route's timeout. */
-    private int await(Socket socket, String id, int onChannel) throws IOException {
-        try {
-            socket.setSoTimeout(TIMEOUT_MILLIS);
-            return read(socket.getInputStream());
-        } catch (SocketTimeoutException e) {
-            unanswered.incrementAndGet();
+    /** Writes a request, as it is produced or, without the disturbance, in one piece. */
+    private void write(OutputStream out, String id, byte[] body, Random random) throws IOException {
+        ByteArrayOutputStream request = new ByteArrayOutputStream();
+        request.writeBytes((head("POST", "/bin/1", id, DEADLINE_MILLIS, "Transfer-Encoding: chunked\r\n") + "\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1));
+        for (int at = 0; at < body.length; at += CHUNK_BYTES) {
+            request.writeBytes((Integer.toHexString(CHUNK_BYTES) + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            request.write(body, at, CHUNK_BYTES);
+            request.writeBytes("\r\n".getBytes(StandardCharsets.ISO_8859_1));
         }
-        try {
-            socket.setSoTimeout(SLACK_MILLIS);
-            return read(socket.getInputStream());
-        } catch (SocketTimeoutException e) {
-            unansweredLater.incrementAndGet();
-            record(id + ", request " + onChannel + " on its channel: no answer " + (TIMEOUT_MILLIS + SLACK_MILLIS)
-                    + " ms after its last byte was sent" + (runs.contains(id) ? ", has run" : ", not run"));
-            return 0;
+        request.writeBytes("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        byte[] bytes = request.toByteArray();
+        int piece = trouble ? PIECE_BYTES : bytes.length;
+        for (int at = 0; at < bytes.length; at += piece) {
+            long nextNanos = System.nanoTime() + (trouble ? random.nextInt(MAX_GAP_MICROS) * 1_000L : 0);
+            while (System.nanoTime() < nextNanos) {
+                Thread.onSpinWait();
+            }
+            out.write(bytes, at, Math.min(piece, bytes.length - at));
         }
     }
 
