Log and count what servers say of themselves in their answers

The gateway makes no health calls. Nothing is decided by them yet.

A value that cannot be read (negative, no number, a date, 1e999, repeated with different values) has no effect and is logged once per server. An answer of 421 says nothing, since another process may have answered at the address.

Ruled out as a place to read them: the calls of requests alone, since a server may be told apart by a reservation or report first.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -39,6 +39,7 @@
 import org.guavathread.core.time.Clock;
 import org.guavathread.gateway.call.GatewayContext;
 import org.guavathread.gateway.call.RequestRouter;
+import org.guavathread.gateway.call.ServerNotices;
 import org.guavathread.gateway.call.ServerRelay;
 import org.guavathread.gateway.fleet.FleetRelay;
 import org.guavathread.gateway.fleet.GossipReporter;
@@ -57,6 +58,7 @@
 import org.guavathread.gateway.log.DecisionLog;
 import org.guavathread.gateway.log.GatewayMetrics;
 import org.guavathread.gateway.loop.EventLoop;
+import org.guavathread.gateway.protocol.BackendProtocol;
 import org.guavathread.gateway.protocol.StoreClient;
 import org.guavathread.gateway.settings.GatewaySettings;
 import org.guavathread.router.caller.CallerServer;
@@ -194,6 +196,9 @@
         EventLoop loop = new EventLoop("decisions", supervisor, clock);
         ServerLoads loads = new ServerLoads();
         ServerHealth health = new ServerHealth();
+        DecisionLog log = new DecisionLog(settings.hostId().value(), clock, out);
+        GatewayMetrics metrics = new GatewayMetrics();
+        BackendProtocol backendProtocol = platform.backendProtocol(() -> leaving);
         // Connections are not reused, so that a late answer cannot be mistaken for the answer to another request.
         HttpClientSettings client = HttpClientSettings.DEFAULTS
                 .withPool(MAX_CONNECTIONS_PER_SERVER, MAX_WAITING_CALLS)
@@ -209,6 +214,7 @@
                 health,
                 new ServerReach(),
                 new ServerLimits(settings.hostId()),
+                new ServerNotices(loop, backendProtocol, log, metrics),
                 new PlainDispatch(settings.dataCentre(), loads, health, random.split()),
                 new EngineDispatch(loads, health, random.split()),
                 new AnswerDurationEstimator(),
@@ -216,9 +222,9 @@
                 new CrashSuspects(),
                 HttpClient.start(client, clock),
                 platform.callerProtocol(() -> leaving),
-                platform.backendProtocol(() -> leaving),
-                new DecisionLog(settings.hostId().value(), clock, out),
-                new GatewayMetrics(),
+                backendProtocol,
+                log,
+                metrics,
                 random.split());
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/BackendClient.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/BackendClient.java
@@ -48,7 +48,12 @@
     }
 
     /** Sends a request and buffers the complete answer. */
-    HttpCall send(Worker worker, HttpRequest request, Consumer<HttpResponse> onAnswer, Consumer<Throwable> onFailure) {
+    HttpCall send(
+            Worker worker, HttpRequest request, Consumer<HttpResponse> onResponse, Consumer<Throwable> onFailure) {
+        Consumer<HttpResponse> onAnswer = answer -> {
+            context.notices().heard(worker, request, answer.head());
+            onResponse.accept(answer);
+        };
         if (context.isOutOfReach(worker.service())) {
             return new RelayedCall.Whole(context, relays, worker, request, onAnswer, onFailure).begin();
         }
@@ -75,8 +80,9 @@
 
     /** Sends a request and passes the answer on as it arrives. */
     HttpCall stream(Worker worker, HttpRequest request, Receiver receiver) {
+        Receiver reading = new NoticeReader(worker, request, receiver);
         if (context.isOutOfReach(worker.service())) {
-            return new RelayedCall.Streamed(context, relays, worker, request, receiver).begin();
+            return new RelayedCall.Streamed(context, relays, worker, request, reading).begin();
         }
         long openedAtMillis = context.loop().nowMillis();
         ReplaceableCall call = new ReplaceableCall();
@@ -85,25 +91,25 @@
             @Override
             public void onHead(HttpHead head) {
                 context.reach().connected(worker.id(), openedAtMillis);
-                receiver.onHead(head);
+                reading.onHead(head);
             }
 
             @Override
             public void onBytes(byte[] bytes) {
-                receiver.onBytes(bytes);
+                reading.onBytes(bytes);
             }
 
             @Override
             public void onDone() {
-                receiver.onDone();
+                reading.onDone();
             }
 
             @Override
             public void onFailure(HttpExchangeException failure) {
                 if (!call.isCancelled() && isNowOutOfReach(worker, failure)) {
-                    call.replace(new RelayedCall.Streamed(context, relays, worker, request, receiver).begin());
+                    call.replace(new RelayedCall.Streamed(context, relays, worker, request, reading).begin());
                 } else {
-                    receiver.onFailure(failure);
+                    reading.onFailure(failure);
                 }
             }
         }));
@@ -161,6 +167,41 @@
         return failure instanceof HttpExchangeException && !isNotSent(failure) && failure.getCause() != null;
     }
 
+    /** Reads what the server says of itself before the answer is handled. */
+    private final class NoticeReader implements Receiver {
+
+        private final Worker worker;
+        private final HttpRequest request;
+        private final Receiver receiver;
+
+        private NoticeReader(Worker worker, HttpRequest request, Receiver receiver) {
+            this.worker = worker;
+            this.request = request;
+            this.receiver = receiver;
+        }
+
+        @Override
+        public void onHead(HttpHead head) {
+            context.notices().heard(worker, request, head);
+            receiver.onHead(head);
+        }
+
+        @Override
+        public void onBytes(byte[] bytes) {
+            receiver.onBytes(bytes);
+        }
+
+        @Override
+        public void onDone() {
+            receiver.onDone();
+        }
+
+        @Override
+        public void onFailure(HttpExchangeException failure) {
+            receiver.onFailure(failure);
+        }
+    }
+
     /** A call whose exchange is replaced by one through another host. */
     private static final class ReplaceableCall implements HttpCall {
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/GatewayContext.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/GatewayContext.java
@@ -35,6 +35,7 @@
  * @param health health of the backend servers, from the outcomes of earlier requests
  * @param reach which servers this host can connect to
  * @param serverLimits request rates that backend servers state
+ * @param notices reads what backend servers say of themselves in their answers
  * @param plainDispatch selects servers for plain requests
  * @param engineDispatch selects engines for language requests
  * @param answerPace measured generation time of answers
@@ -57,6 +58,7 @@
         ServerHealth health,
         ServerReach reach,
         ServerLimits serverLimits,
+        ServerNotices notices,
         PlainDispatch plainDispatch,
         EngineDispatch engineDispatch,
         AnswerDurationEstimator answerPace,
--- /dev/null
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerNotices.java
@@ -0,0 +1,94 @@
+package org.guavathread.gateway.call;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import org.guavathread.core.id.BackendServerId;
+import org.guavathread.core.registry.Worker;
+import org.guavathread.gateway.log.DecisionLog;
+import org.guavathread.gateway.log.GatewayMetrics;
+import org.guavathread.gateway.loop.EventLoop;
+import org.guavathread.gateway.protocol.BackendProtocol;
+import org.guavathread.gateway.protocol.ServerNotice;
+import org.guavathread.router.http.HttpHead;
+import org.guavathread.router.http.HttpRequest;
+
+/** Reads what backend servers say of themselves in their answers. Runs on the event loop's thread. */
+public final class ServerNotices {
+
+    /** Maximum length of a request line in the log. */
+    private static final int MAX_REQUEST_CHARS = 100;
+
+    private final EventLoop loop;
+    private final BackendProtocol protocol;
+    private final DecisionLog log;
+    private final GatewayMetrics metrics;
+    private final Set<BackendServerId> unreadableLogged = new HashSet<>();
+
+    /**
+     * Creates a reader.
+     *
+     * @param loop source of the time
+     * @param protocol decodes notices
+     * @param log receives a line for each notice
+     * @param metrics counts notices
+     */
+    public ServerNotices(EventLoop loop, BackendProtocol protocol, DecisionLog log, GatewayMetrics metrics) {
+        this.loop = loop;
+        this.protocol = protocol;
+        this.log = log;
+        this.metrics = metrics;
+    }
+
+    /**
+     * Reads the head of an answer of any kind.
+     *
+     * @param server the server that was asked
+     * @param request what it was asked
+     * @param head status and headers of its answer
+     */
+    public void heard(Worker server, HttpRequest request, HttpHead head) {
+        long now = loop.nowMillis();
+        ServerNotice notice = protocol.noticeOf(head, now);
+        if (notice.isEmpty()) {
+            return;
+        }
+        if (notice.isLeaving()) {
+            metrics.serverNotice("leaving");
+            entry(server, request, head, "leaving").write();
+        }
+        notice.pausedUntilMillis().ifPresent(until -> {
+            metrics.serverNotice("pause");
+            entry(server, request, head, "pause")
+                    .with("pauseMillis", until - now)
+                    .write();
+        });
+        if (!notice.unreadable().isEmpty()) {
+            metrics.serverNotice("unreadable");
+            if (unreadableLogged.add(server.id())) {
+                entry(server, request, head, "unreadable")
+                        .with("headers", notice.unreadable())
+                        .write();
+            }
+        }
+    }
+
+    private DecisionLog.Entry entry(Worker server, HttpRequest request, HttpHead head, String outcome) {
+        String line = request.toString();
+        return log.entry("notice")
+                .with("server", server.id())
+                .with("startedAt", server.startedAtMillis())
+                .with("outcome", outcome)
+                .with("request", line.substring(0, Math.min(MAX_REQUEST_CHARS, line.length())))
+                .with("status", head.status());
+    }
+
+    /**
+     * Forgets servers that no longer exist.
+     *
+     * @param present ids of the servers that exist
+     */
+    public void retain(Set<BackendServerId> present) {
+        unreadableLogged.retainAll(present);
+    }
+}
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerRelay.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerRelay.java
@@ -82,7 +82,7 @@
             answerFailure(exchange, RelayProtocol.Failure.NOT_SENT);
             return;
         }
-        Relayed relayed = new Relayed(exchange, worker.get());
+        Relayed relayed = new Relayed(exchange, worker.get(), request);
         running.add(relayed);
         relayed.call =
                 BackendClient.streamFrom(context, worker.get(), worker.get().address(), request, relayed);
@@ -117,13 +117,15 @@
 
         private final CallerExchange exchange;
         private final Worker worker;
+        private final HttpRequest request;
         private final long openedAtMillis = context.loop().nowMillis();
         private HttpCall call;
         private Optional<CallerExchange.StreamBody> out = Optional.empty();
 
-        private Relayed(CallerExchange exchange, Worker worker) {
+        private Relayed(CallerExchange exchange, Worker worker, HttpRequest request) {
             this.exchange = exchange;
             this.worker = worker;
+            this.request = request;
         }
 
         private void callerGone() {
@@ -136,6 +138,7 @@
         @Override
         public void onHead(HttpHead head) {
             context.reach().connected(worker.id(), openedAtMillis);
+            context.notices().heard(worker, request, head);
             out = exchange.openStream(head.status(), RelayProtocol.headersOfAnswer(head));
             if (out.isEmpty()) {
                 callerGone();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/ReachMonitor.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/ReachMonitor.java
@@ -7,6 +7,7 @@
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.routing.ServiceName;
 import org.guavathread.gateway.call.GatewayContext;
+import org.guavathread.router.http.HttpRequest;
 import org.guavathread.router.http.HttpStep;
 import org.guavathread.router.http.RequestNotSentException;
 
@@ -77,10 +78,12 @@
 
     private void probe(Worker server) {
         long openedAtMillis = context.loop().nowMillis();
+        HttpRequest request = context.backendProtocol().report(server, openedAtMillis + PROBE_TIMEOUT_MILLIS);
         context.client()
-                .send(server.address(), context.backendProtocol().report(server, openedAtMillis + PROBE_TIMEOUT_MILLIS))
+                .send(server.address(), request)
                 .whenComplete((answer, failure) -> context.loop().execute(() -> {
                     if (failure == null) {
+                        context.notices().heard(server, request, answer.head());
                         context.reach().connected(server.id(), openedAtMillis);
                     } else if (failure instanceof RequestNotSentException notSent
                             && notSent.step() == HttpStep.CONNECT) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/RoleCoordinator.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/RoleCoordinator.java
@@ -15,6 +15,7 @@
 import org.guavathread.core.routing.ServiceTerms;
 import org.guavathread.gateway.call.GatewayContext;
 import org.guavathread.gateway.protocol.EngineReport;
+import org.guavathread.router.http.HttpRequest;
 import org.guavathread.router.http.HttpResponse;
 
 /**
@@ -86,9 +87,13 @@
         nextOrderAtMillis = context.loop().nowMillis() + MIN_ORDER_INTERVAL_MILLIS;
         Worker engine = change.engine();
         long untilMillis = context.loop().nowMillis() + CALL_TIMEOUT_MILLIS;
+        HttpRequest request = context.backendProtocol().report(engine, untilMillis);
         context.client()
-                .send(engine.address(), context.backendProtocol().report(engine, untilMillis))
+                .send(engine.address(), request)
                 .whenComplete((answer, failure) -> context.loop().execute(() -> {
+                    if (failure == null) {
+                        context.notices().heard(engine, request, answer.head());
+                    }
                     Optional<EngineReport> report =
                             failure == null ? context.backendProtocol().reportOf(engine, answer) : Optional.empty();
                     boolean acceptsOrder = report.filter(
@@ -107,13 +112,16 @@
     private void order(RolePlan.Change change) {
         long now = context.loop().nowMillis();
         Worker engine = change.engine();
+        HttpRequest request =
+                context.backendProtocol().changeStage(engine, change.stage(), self, now, now + CALL_TIMEOUT_MILLIS);
         context.client()
-                .send(
-                        engine.address(),
-                        context.backendProtocol()
-                                .changeStage(engine, change.stage(), self, now, now + CALL_TIMEOUT_MILLIS))
-                .whenComplete((answer, failure) -> context.loop()
-                        .execute(() -> log(change, failure == null ? statusOf(answer) : failure.getMessage())));
+                .send(engine.address(), request)
+                .whenComplete((answer, failure) -> context.loop().execute(() -> {
+                    if (failure == null) {
+                        context.notices().heard(engine, request, answer.head());
+                    }
+                    log(change, failure == null ? statusOf(answer) : failure.getMessage());
+                }));
     }
 
     private static String statusOf(HttpResponse answer) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/log/GatewayMetrics.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/log/GatewayMetrics.java
@@ -42,6 +42,11 @@
             .help("Streams that callers took up again, by whether the version that began them was known.")
             .labelNames("origin")
             .register(registry);
+    private final Counter serverNotices = Counter.builder()
+            .name("guavathread_server_notices_total")
+            .help("Answers in which backend servers said that they leave or asked for a pause.")
+            .labelNames("notice")
+            .register(registry);
     private final Histogram firstByte = Histogram.builder()
             .name("guavathread_first_byte_seconds")
             .help("Time from the arrival of a request to the first byte of its answer.")
@@ -116,6 +121,15 @@
         resumed.labelValues(isOriginKnown ? "known" : "unknown").inc();
     }
 
+    /**
+     * Counts what a backend server said of itself in an answer.
+     *
+     * @param notice for example {@code "leaving"}
+     */
+    public void serverNotice(String notice) {
+        serverNotices.labelValues(notice).inc();
+    }
+
     /**
      * Adds a gauge.
      *
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/BackendProtocol.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/BackendProtocol.java
@@ -127,6 +127,15 @@
      */
     OptionalDouble statedLimitOf(HttpHead head);
 
+    /**
+     * Decodes what a server says of itself in an answer of any kind.
+     *
+     * @param head status and headers of the answer
+     * @param nowMillis when the answer arrived
+     * @return the notice; {@link ServerNotice#NONE} if the answer may come from another process
+     */
+    ServerNotice noticeOf(HttpHead head, long nowMillis);
+
     /**
      * Returns the headers of a backend server's answer that are forwarded to the caller.
      *
