Stop sending requests to servers that say they leave

Cause: nothing read Server-Leaving. The store was the only source of a departure, and within an epoch its latest entry counted as the server's own word, so a host that was cut off, or heard another word from the store, went on.

A server that says in any answer that it leaves is now draining in WorkerRegistry from then on, and DepartedServers keeps the departure of its process with an epoch before all epochs of the store, so that no listing, event or older copy takes it back. Another process under the id is used again. A relaying host reads the answers that it passes on.

Other hosts are told in a datagram of its own (DepartureNotice), not in the reports: earlier builds drop a report with one more field, and ignore an unknown message.

Ruled out: a field in HostReport (drops all reports between builds); a second list of servers not to use, which each choice would have had to consult beside the registry; asking the server for its start time before believing it, one more call for each departure.

--- a/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
@@ -118,6 +118,9 @@
         for (DepartedServers.Departure each : departures) {
             if (departed.merge(each, nowMillis)) {
                 news.add(each.server());
+                if (each.isStatedInAnswer()) {
+                    registry.leaving(each.server(), each.startedAtMillis());
+                }
             }
         }
         List<StateChange> changes = new ArrayList<>();
@@ -130,6 +133,28 @@
         return changes;
     }
 
+    /**
+     * Applies what a server stated in an answer: that it leaves.
+     *
+     * @param worker the entry of the process that answered
+     * @param nowMillis the current time
+     * @return true if this was not known
+     */
+    public boolean applyStatedDeparture(Worker worker, long nowMillis) {
+        registry.leaving(worker.id(), worker.startedAtMillis());
+        return departed.recordStated(worker, nowMillis);
+    }
+
+    /**
+     * Returns what servers have lately stated in answers: that they leave.
+     *
+     * @param nowMillis the current time
+     * @return their departures, for other hosts
+     */
+    public List<DepartedServers.Departure> departureNews(long nowMillis) {
+        return departed.news(nowMillis);
+    }
+
     /**
      * Ends grace periods. Servers that were withheld and are still listed are usable then.
      *
@@ -276,6 +301,11 @@
     private void applyEntry(Worker worker, StoreItem item, long nowMillis, List<StateChange> changes) {
         BackendServerId id = worker.id();
         Optional<Worker> previous = registry.find(id);
+        if (!worker.draining() && departed.hasStated(worker)) {
+            registry.put(worker.leaving(), nowMillis);
+            changes.add(change("server", id.value(), "listed, but leaving by its own answer", item));
+            return;
+        }
         if (withheldAsOutdated(worker, previous, item, nowMillis)) {
             changes.add(change("server", id.value(), "withheld, listed by an older copy of the store", item));
             return;
--- a/guavathread-core/src/main/java/org/guavathread/core/registry/WorkerRegistry.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/registry/WorkerRegistry.java
@@ -45,6 +45,18 @@
         }
     }
 
+    /**
+     * Records that a server announced its shutdown, unless another process has its id by now.
+     *
+     * @param id the server
+     * @param startedAtMillis start time of the process that announced it
+     */
+    public void leaving(BackendServerId id, long startedAtMillis) {
+        for (Map<BackendServerId, Worker> each : List.of(registered, lapsed)) {
+            each.computeIfPresent(id, (key, w) -> w.startedAtMillis() <= startedAtMillis ? w.leaving() : w);
+        }
+    }
+
     /**
      * Removes a server whose entry was deleted or has expired.
      *
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -29,6 +29,7 @@
 import org.guavathread.core.publish.PublishedState;
 import org.guavathread.core.publish.StartSynchronisation;
 import org.guavathread.core.publish.StoreFollower;
+import org.guavathread.core.registry.DepartureNotice;
 import org.guavathread.core.routing.CallerBounds;
 import org.guavathread.core.routing.RoutingTable;
 import org.guavathread.core.share.FairShareTracker;
@@ -196,6 +197,8 @@
         EventLoop loop = new EventLoop("decisions", supervisor, clock);
         ServerLoads loads = new ServerLoads();
         ServerHealth health = new ServerHealth();
+        PublishedState state =
+                new PublishedState(platform.itemDecoder(), MISSED_REPORTS * settings.serverReportMillis());
         DecisionLog log = new DecisionLog(settings.hostId().value(), clock, out);
         GatewayMetrics metrics = new GatewayMetrics();
         BackendProtocol backendProtocol = platform.backendProtocol(() -> leaving);
@@ -206,7 +209,7 @@
                 .withIdleMillis(0, 0);
         return new GatewayContext(
                 loop,
-                new PublishedState(platform.itemDecoder(), MISSED_REPORTS * settings.serverReportMillis()),
+                state,
                 new SharedTokenLimits(settings.burstAllowance(), settings.isFirstStart()),
                 new FairShareTracker(),
                 new SharedRetryBudget(settings.retryRatio(), settings.retryExtra(), settings.retryWindowMillis()),
@@ -214,7 +217,7 @@
                 health,
                 new ServerReach(),
                 new ServerLimits(settings.hostId()),
-                new ServerNotices(loop, backendProtocol, log, metrics),
+                new ServerNotices(loop, state, backendProtocol, log, metrics),
                 new PlainDispatch(settings.dataCentre(), loads, health, random.split()),
                 new EngineDispatch(loads, health, random.split()),
                 new AnswerDurationEstimator(),
@@ -322,6 +325,8 @@
                 reporter.receive(packet);
             } else if (message instanceof StreamOriginNotice notice) {
                 origins.receive(notice);
+            } else if (message instanceof DepartureNotice notice) {
+                stateSynchroniser.receive(notice);
             }
         });
     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerNotices.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerNotices.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 
 import org.guavathread.core.id.BackendServerId;
+import org.guavathread.core.publish.PublishedState;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.gateway.log.DecisionLog;
 import org.guavathread.gateway.log.GatewayMetrics;
@@ -13,33 +14,47 @@
 import org.guavathread.router.http.HttpHead;
 import org.guavathread.router.http.HttpRequest;
 
-/** Reads what backend servers say of themselves in their answers. Runs on the event loop's thread. */
+/** Acts on what backend servers say of themselves in their answers. Runs on the event loop's thread. */
 public final class ServerNotices {
 
     /** Maximum length of a request line in the log. */
     private static final int MAX_REQUEST_CHARS = 100;
 
     private final EventLoop loop;
+    private final PublishedState state;
     private final BackendProtocol protocol;
     private final DecisionLog log;
     private final GatewayMetrics metrics;
     private final Set<BackendServerId> unreadableLogged = new HashSet<>();
+    private Runnable onDeparture = () -> {};
 
     /**
      * Creates a reader.
      *
      * @param loop source of the time
+     * @param state receives servers that leave
      * @param protocol decodes notices
      * @param log receives a line for each notice
      * @param metrics counts notices
      */
-    public ServerNotices(EventLoop loop, BackendProtocol protocol, DecisionLog log, GatewayMetrics metrics) {
+    public ServerNotices(
+            EventLoop loop, PublishedState state, BackendProtocol protocol, DecisionLog log, GatewayMetrics metrics) {
         this.loop = loop;
+        this.state = state;
         this.protocol = protocol;
         this.log = log;
         this.metrics = metrics;
     }
 
+    /**
+     * Sets what runs when a server has stated for the first time that it leaves.
+     *
+     * @param action tells other hosts
+     */
+    public void onDeparture(Runnable action) {
+        onDeparture = action;
+    }
+
     /**
      * Reads the head of an answer of any kind.
      *
@@ -55,7 +70,7 @@
         }
         if (notice.isLeaving()) {
             metrics.serverNotice("leaving");
-            entry(server, request, head, "leaving").write();
+            leaves(server, request, head, now);
         }
         notice.pausedUntilMillis().ifPresent(until -> {
             metrics.serverNotice("pause");
@@ -73,6 +88,13 @@
         }
     }
 
+    private void leaves(Worker server, HttpRequest request, HttpHead head, long nowMillis) {
+        if (state.applyStatedDeparture(server, nowMillis)) {
+            entry(server, request, head, "leaving").write();
+            onDeparture.run();
+        }
+    }
+
     private DecisionLog.Entry entry(Worker server, HttpRequest request, HttpHead head, String outcome) {
         String line = request.toString();
         return log.entry("notice")
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
@@ -12,6 +12,8 @@
 import org.guavathread.core.hash.RendezvousHash;
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
+import org.guavathread.core.registry.DepartedServers;
+import org.guavathread.core.registry.DepartureNotice;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.gateway.call.GatewayContext;
 import org.guavathread.gateway.call.RequestRouter;
@@ -128,6 +130,7 @@
     public void start(RequestRouter requests) {
         router = requests;
         context.crashSuspects().onNews(this::reportEarly);
+        context.notices().onDeparture(this::reportEarly);
         sendPeriodically();
     }
 
@@ -245,10 +248,21 @@
         logReachableHosts(fleet.reachableHosts(now).size());
         logBlamedTraits(context.crashSuspects().blamedCount());
         byte[] bytes = encodePacket(now);
-        fleet.receivers(identity.peers()).forEach(to -> socket.send(to, bytes));
+        List<SocketAddressText> receivers = fleet.receivers(identity.peers());
+        receivers.forEach(to -> socket.send(to, bytes));
+        sendDepartures(receivers, now);
         fleet.nextSyncSource(now).ifPresent(this::requestReports);
     }
 
+    /** Tells other hosts which servers leave, in a message of its own that earlier builds can ignore. */
+    private void sendDepartures(List<SocketAddressText> receivers, long nowMillis) {
+        List<DepartedServers.Departure> news = context.state().departureNews(nowMillis);
+        if (!news.isEmpty()) {
+            byte[] notice = socket.encode(new DepartureNotice(news));
+            receivers.forEach(to -> socket.send(to, notice));
+        }
+    }
+
     private void requestReports(HostReport peer) {
         context.client()
                 .send(peer.peers(), relay.request(context.loop().nowMillis()))
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipSocket.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipSocket.java
@@ -20,6 +20,7 @@
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import org.guavathread.core.gossip.GossipPacket;
 import org.guavathread.core.message.PeerMessage;
+import org.guavathread.core.registry.DepartureNotice;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.core.stream.StreamOriginNotice;
 import org.guavathread.router.supervisor.Supervised;
@@ -37,6 +38,7 @@
 
     private static final int GOSSIP_MESSAGE = 1;
     private static final int STREAM_ORIGIN_MESSAGE = 2;
+    private static final int DEPARTURE_MESSAGE = 3;
 
     /** Fits into one network packet; a fragmented datagram would be lost with any one of its fragments. */
     public static final int MAX_DATAGRAM_BYTES = 1_400;
@@ -45,7 +47,8 @@
     private final Consumer<PeerMessage> onMessage;
     private final FrameCodec codec = new FrameCodec(new MessageRegistry()
             .register(GOSSIP_MESSAGE, GossipPacket.class)
-            .register(STREAM_ORIGIN_MESSAGE, StreamOriginNotice.class));
+            .register(STREAM_ORIGIN_MESSAGE, StreamOriginNotice.class)
+            .register(DEPARTURE_MESSAGE, DepartureNotice.class));
     private final UDPNIOTransport transport;
     private Connection<SocketAddress> socket;
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
@@ -13,6 +13,7 @@
 import org.guavathread.core.publish.StateSnapshot;
 import org.guavathread.core.publish.StoreFollower;
 import org.guavathread.core.publish.StorePosition;
+import org.guavathread.core.registry.DepartureNotice;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.gateway.call.GatewayContext;
 import org.guavathread.gateway.protocol.StoreClient;
@@ -83,6 +84,16 @@
                         .thenRun(() -> follower.peerAnswered(context.loop().nowMillis())));
     }
 
+    /**
+     * Applies what servers have stated to another host: that they leave.
+     *
+     * @param notice the other host's notice
+     */
+    public void receive(DepartureNotice notice) {
+        long now = context.loop().nowMillis();
+        handleChanges(context.state().applyDepartures(notice.departures(), now), "notice of another host");
+    }
+
     private void callStore(long nowMillis) {
         storeAsked = true;
         follower.next(nowMillis).ifPresent(this::call);
