Keep the pauses for which servers ask

Cause: nothing read the Retry-After of a server's 503. The back-offs of ServerHealth kept some requests away, for 4 s at most and until the next success; reservations, prefills, reports and probes had rules of their own.

ServerPauses keeps the end of each pause for the process that asked, apart from ServerHealth. Servers in a pause are left out wherever one is chosen, also for a relayed request. If all are in a pause, requests wait for the first one if it can still serve them, plain ones up to its number of slots; others are refused at once with a Retry-After that fits the first return, spread over 0.75 s. A refusal with a pause does not count against the server's health. Role orders are planned for the whole pool, and not sent to an engine in a pause.

Ruled out: ending a pause with a success (it belongs to a request that was sent before); telling other hosts (the server speaks to one host, and others may still send); leaving paused engines out of the role plan, which would order roles for a pool that is smaller for some seconds only.

--- /dev/null
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/ServerPausesTest.java
@@ -0,0 +1,84 @@
+package org.guavathread.core.dispatch;
+
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import org.guavathread.core.id.BackendServerId;
+import org.guavathread.core.id.DataCentreId;
+import org.guavathread.core.registry.EngineStage;
+import org.guavathread.core.registry.SoftwareVersion;
+import org.guavathread.core.registry.Worker;
+import org.guavathread.core.routing.ServiceName;
+import org.guavathread.core.sheet.SocketAddressText;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Tests how long and for which process a pause holds. */
+class ServerPausesTest {
+
+    private static final Worker ONE = worker("i-1", 5);
+    private static final Worker TWO = worker("i-2", 5);
+
+    private final ServerPauses pauses = new ServerPauses();
+
+    private static Worker worker(String id, long startedAtMillis) {
+        return new Worker(
+                new BackendServerId(id),
+                new ServiceName("plain"),
+                new SocketAddressText("10.1.0.3", 8_080),
+                new DataCentreId("talca"),
+                6,
+                false,
+                EngineStage.NONE,
+                new SoftwareVersion("v1"),
+                startedAtMillis);
+    }
+
+    @Test
+    void pauseHoldsUntilItsEnd() {
+        pauses.state(ONE, 2_000);
+        assertTrue(pauses.isPaused(ONE, 1_999));
+        assertFalse(pauses.isPaused(ONE, 2_000));
+        assertEquals(List.of(TWO), pauses.withoutPause(List.of(ONE, TWO), 1_000));
+        assertEquals(1, pauses.size(1_000));
+        assertEquals(0, pauses.size(2_000));
+    }
+
+    @Test
+    void laterStatementExtendsAPauseAndNeverShortensIt() {
+        pauses.state(ONE, 2_000);
+        pauses.state(ONE, 1_500);
+        assertTrue(pauses.isPaused(ONE, 1_999));
+        pauses.state(ONE, 3_000);
+        assertTrue(pauses.isPaused(ONE, 2_999));
+    }
+
+    @Test
+    void pauseConcernsTheProcessThatAskedForIt() {
+        pauses.state(ONE, 2_000);
+        assertFalse(pauses.isPaused(worker("i-1", 6), 1_000));
+        pauses.state(worker("i-1", 6), 1_200);
+        pauses.state(ONE, 5_000);
+        assertFalse(pauses.isPaused(worker("i-1", 6), 1_200));
+    }
+
+    @Test
+    void firstReturnIsKnownOnlyIfAllServersPause() {
+        assertEquals(OptionalLong.empty(), pauses.firstReturnMillis(List.of(), 1_000));
+        pauses.state(ONE, 2_000);
+        assertEquals(OptionalLong.empty(), pauses.firstReturnMillis(List.of(ONE, TWO), 1_000));
+        pauses.state(TWO, 1_800);
+        assertEquals(OptionalLong.of(1_800), pauses.firstReturnMillis(List.of(ONE, TWO), 1_000));
+    }
+
+    @Test
+    void pausesOfServersThatNoLongerExistAreRemoved() {
+        pauses.state(ONE, 2_000);
+        pauses.retain(Set.of(TWO.id()));
+        assertFalse(pauses.isPaused(ONE, 1_000));
+    }
+}
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import org.guavathread.core.dispatch.ServerHealth;
 import org.guavathread.core.dispatch.ServerLimits;
 import org.guavathread.core.dispatch.ServerLoads;
+import org.guavathread.core.dispatch.ServerPauses;
 import org.guavathread.core.dispatch.ServerReach;
 import org.guavathread.core.gossip.FleetView;
 import org.guavathread.core.gossip.GossipPacket;
@@ -199,6 +200,7 @@
         ServerHealth health = new ServerHealth();
         PublishedState state =
                 new PublishedState(platform.itemDecoder(), MISSED_REPORTS * settings.serverReportMillis());
+        ServerPauses pauses = new ServerPauses();
         DecisionLog log = new DecisionLog(settings.hostId().value(), clock, out);
         GatewayMetrics metrics = new GatewayMetrics();
         BackendProtocol backendProtocol = platform.backendProtocol(() -> leaving);
@@ -217,7 +219,8 @@
                 health,
                 new ServerReach(),
                 new ServerLimits(settings.hostId()),
-                new ServerNotices(loop, state, backendProtocol, log, metrics),
+                pauses,
+                new ServerNotices(loop, state, pauses, backendProtocol, log, metrics),
                 new PlainDispatch(settings.dataCentre(), loads, health, random.split()),
                 new EngineDispatch(loads, health, random.split()),
                 new AnswerDurationEstimator(),
@@ -275,6 +278,11 @@
                         "guavathread_limited_servers",
                         "Backend servers that state a limit on their requests.",
                         () -> callOnLoop(() -> context.serverLimits().size(), 0));
+        context.metrics()
+                .gauge(
+                        "guavathread_paused_servers",
+                        "Backend servers in a pause for which they asked this host.",
+                        () -> callOnLoop(() -> context.pauses().size(clock.nowMillis()), 0));
         context.metrics()
                 .gauge(
                         "guavathread_store_epoch",
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -39,6 +40,9 @@
     /** Minimum Retry-After for a full pool: about the service time of one plain request. */
     private static final long MIN_RETRY_DELAY_MILLIS = 250;
 
+    /** Maximum time by which callers come back later than the first server after a pause. */
+    private static final long MAX_RETURN_SPREAD_MILLIS = 750;
+
     final GatewayContext context;
     final AdmittedRequest admitted;
     final Set<BackendServerId> tried = new HashSet<>();
@@ -116,9 +120,23 @@
         return context.state().registry().usable(admitted.service());
     }
 
-    /** Returns the servers whose stated limits are not used up, by what this host knows. */
+    /** Returns the servers that can run the request itself. */
+    List<Worker> runners() {
+        return servers();
+    }
+
+    /** Returns the servers that are in no pause. */
+    List<Worker> serversWithoutPause() {
+        return context.pauses().withoutPause(servers(), now());
+    }
+
+    /** Returns the servers that are in no pause and whose stated limits are not used up, by what this host knows. */
     List<Worker> serversWithRoom() {
-        return context.serverLimits().withRoom(servers(), now());
+        return context.serverLimits().withRoom(serversWithoutPause(), now());
+    }
+
+    boolean isPaused(Worker server) {
+        return context.pauses().isPaused(server, now());
     }
 
     /** Continues once a server's stated limit allows a request; a call that has ended meanwhile does not go on. */
@@ -269,12 +287,25 @@
         refuseFull(message, 0);
     }
 
+    /** Tells whether some servers are all in pauses that end after a time. */
+    boolean areAllPausedUntil(long millis, List<Worker> servers) {
+        OptionalLong returnsAtMillis = context.pauses().firstReturnMillis(servers, now());
+        return returnsAtMillis.isPresent() && returnsAtMillis.getAsLong() > millis;
+    }
+
     /** Refuses the request until there may be room, but not for less than the usual delay. */
     void refuseFull(String message, long roomInMillis) {
-        long delayMillis = Math.max(roomInMillis, retryDelayMillis());
+        long delayMillis = Math.max(Math.max(roomInMillis, returnInMillis()), retryDelayMillis());
         refuse(Refusal.notRun(RefusalCode.NO_ROOM, message).retryAfter(delayMillis));
     }
 
+    /** Returns when to come back if all servers are in a pause: at different times after the first one returns. */
+    private long returnInMillis() {
+        OptionalLong returnsAtMillis = context.pauses().firstReturnMillis(runners(), now());
+        long spreadMillis = (long) (context.random().nextDouble() * MAX_RETURN_SPREAD_MILLIS);
+        return returnsAtMillis.isPresent() ? returnsAtMillis.getAsLong() - now() + spreadMillis : 0;
+    }
+
     /** Returns a retry delay with random jitter, so that refused callers do not all return at once. */
     long retryDelayMillis() {
         return MIN_RETRY_DELAY_MILLIS + (long) (context.random().nextDouble() * 3 * MIN_RETRY_DELAY_MILLIS);
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineResources.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineResources.java
@@ -122,9 +122,11 @@
         reservation = Optional.empty();
     }
 
-    /** Gives something back; if that fails, it expires soon. */
+    /** Gives something back; if that fails, or the engine is in a pause, it expires soon. */
     private void sendAndForget(Worker engine, HttpRequest request) {
-        backendClient.send(engine, request, answer -> {}, failure -> {});
+        if (!context.pauses().isPaused(engine, now())) {
+            backendClient.send(engine, request, answer -> {}, failure -> {});
+        }
     }
 
     private long now() {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/GatewayContext.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/GatewayContext.java
@@ -10,6 +10,7 @@
 import org.guavathread.core.dispatch.ServerHealth;
 import org.guavathread.core.dispatch.ServerLimits;
 import org.guavathread.core.dispatch.ServerLoads;
+import org.guavathread.core.dispatch.ServerPauses;
 import org.guavathread.core.dispatch.ServerReach;
 import org.guavathread.core.publish.PublishedState;
 import org.guavathread.core.routing.ServiceName;
@@ -35,7 +36,8 @@
  * @param health health of the backend servers, from the outcomes of earlier requests
  * @param reach which servers this host can connect to
  * @param serverLimits request rates that backend servers state
- * @param notices reads what backend servers say of themselves in their answers
+ * @param pauses pauses that backend servers ask this host for
+ * @param notices acts on what backend servers say of themselves in their answers
  * @param plainDispatch selects servers for plain requests
  * @param engineDispatch selects engines for language requests
  * @param answerPace measured generation time of answers
@@ -58,6 +60,7 @@
         ServerHealth health,
         ServerReach reach,
         ServerLimits serverLimits,
+        ServerPauses pauses,
         ServerNotices notices,
         PlainDispatch plainDispatch,
         EngineDispatch engineDispatch,
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.guavathread.core.dispatch.ServerLoads;
 import org.guavathread.core.registry.Worker;
@@ -20,6 +21,7 @@
     private static final double RUN_TIMEOUT_TARGETS = 2;
 
     private final BackendClient backendClient;
+    private final ReturnQueue returnQueue;
     private ServerLoads.Ticket ticket;
 
     PlainCall(
@@ -27,9 +29,11 @@
             AdmittedRequest admitted,
             RequestRouter.Permits permits,
             BackendClient backendClient,
+            ReturnQueue returnQueue,
             Runnable onEnd) {
         super(context, admitted, permits, onEnd);
         this.backendClient = backendClient;
+        this.returnQueue = returnQueue;
     }
 
     @Override
@@ -43,9 +47,13 @@
             ticket.close();
             ticket = null;
         }
+        if (isEnded()) {
+            returnQueue.ended(this);
+        }
     }
 
-    private void send() {
+    /** Sends the request to the best server, or decides that there is none. */
+    void send() {
         if (refusedAsCrashSuspect()) {
             return;
         }
@@ -63,8 +71,9 @@
 
     /** Returns the servers to choose from: those that state a limit only if no other has a free slot. */
     private List<Worker> candidates() {
-        List<Worker> unlimited = context.serverLimits().withoutLimit(servers());
-        if (unlimited.size() == servers().size()) {
+        List<Worker> available = serversWithoutPause();
+        List<Worker> unlimited = context.serverLimits().withoutLimit(available);
+        if (unlimited.size() == available.size()) {
             return unlimited;
         }
         List<Worker> free = unlimited.stream()
@@ -76,14 +85,35 @@
     }
 
     private void refuseWithoutServer() {
-        if (!tried.isEmpty()) {
+        List<Worker> untried =
+                servers().stream().filter(w -> !tried.contains(w.id())).toList();
+        OptionalLong returnsAtMillis = context.pauses().firstReturnMillis(untried, now());
+        if (returnsAtMillis.isPresent()) {
+            waitForReturn(untried, returnsAtMillis.getAsLong());
+        } else if (!tried.isEmpty()) {
             refuseFull("No backend server is left that has not refused the request.");
         } else if (servers().isEmpty()) {
             refuseFull("No backend server of service " + admitted.service() + " is listed.");
         } else {
             refuseFull(
                     "The backend servers of service " + admitted.service() + " have reached their stated limits.",
-                    context.serverLimits().roomInMillis(servers(), now()));
+                    context.serverLimits().roomInMillis(serversWithoutPause(), now()));
+        }
+    }
+
+    /** Waits for the first server to return from its pause if it can then still serve the request. */
+    private void waitForReturn(List<Worker> paused, long returnsAtMillis) {
+        int slots = paused.stream().mapToInt(Worker::slots).max().orElse(0);
+        boolean isInTime = returnsAtMillis + admitted.rule().targetMillis() <= admitted.deadlineMillis();
+        boolean waits = isInTime && returnQueue.enqueue(this, returnsAtMillis, slots);
+        log("wait")
+                .with("outcome", waits ? "waits" : "refused")
+                .with("pausedServers", paused.size())
+                .with("returnMillis", returnsAtMillis - now())
+                .with("remainingMillis", remainingMillis())
+                .write();
+        if (!waits) {
+            refuseFull("All backend servers of service " + admitted.service() + " have asked for a pause.");
         }
     }
 
@@ -135,7 +165,7 @@
         if (meaning.isNotRun()) {
             if (meaning == AnswerMeaning.MISDIRECTED) {
                 context.health().unreachable(worker.id(), now());
-            } else {
+            } else if (!isPaused(worker)) {
                 context.health().failed(worker.id(), now());
             }
             retryNotRun();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
@@ -120,6 +120,7 @@
     private final Origins origins;
     private final Set<Call> calls = new HashSet<>();
     private final Map<ServiceName, CapacityQueue> capacityQueues = new HashMap<>();
+    private final Map<ServiceName, ReturnQueue> returnQueues = new HashMap<>();
 
     /**
      * Creates the router.
@@ -336,11 +337,15 @@
                         () -> drainRefusal(context.loop().nowMillis()),
                         origins,
                         onEnd)
-                : new PlainCall(context, admitted, permits, backendClient, onEnd);
+                : new PlainCall(context, admitted, permits, backendClient, returnQueueOf(admitted.service()), onEnd);
         calls.add(call[0]);
         call[0].begin();
     }
 
+    private ReturnQueue returnQueueOf(ServiceName service) {
+        return returnQueues.computeIfAbsent(service, each -> new ReturnQueue(context));
+    }
+
     private CapacityQueue capacityQueueOf(AdmittedRequest admitted) {
         return capacityQueues.computeIfAbsent(
                 admitted.service(),
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerNotices.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerNotices.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 
+import org.guavathread.core.dispatch.ServerPauses;
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.publish.PublishedState;
 import org.guavathread.core.registry.Worker;
@@ -22,6 +23,7 @@
 
     private final EventLoop loop;
     private final PublishedState state;
+    private final ServerPauses pauses;
     private final BackendProtocol protocol;
     private final DecisionLog log;
     private final GatewayMetrics metrics;
@@ -33,14 +35,21 @@
      *
      * @param loop source of the time
      * @param state receives servers that leave
+     * @param pauses receives servers that ask for a pause
      * @param protocol decodes notices
      * @param log receives a line for each notice
      * @param metrics counts notices
      */
     public ServerNotices(
-            EventLoop loop, PublishedState state, BackendProtocol protocol, DecisionLog log, GatewayMetrics metrics) {
+            EventLoop loop,
+            PublishedState state,
+            ServerPauses pauses,
+            BackendProtocol protocol,
+            DecisionLog log,
+            GatewayMetrics metrics) {
         this.loop = loop;
         this.state = state;
+        this.pauses = pauses;
         this.protocol = protocol;
         this.log = log;
         this.metrics = metrics;
@@ -74,6 +83,7 @@
         }
         notice.pausedUntilMillis().ifPresent(until -> {
             metrics.serverNotice("pause");
+            pauses.state(server, until);
             entry(server, request, head, "pause")
                     .with("pauseMillis", until - now)
                     .write();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerRelay.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerRelay.java
@@ -66,7 +66,8 @@
             answerFailure(exchange, RelayProtocol.Failure.UNAVAILABLE);
             return;
         }
-        if (worker.isEmpty()) {
+        if (worker.isEmpty()
+                || context.pauses().isPaused(worker.get(), context.loop().nowMillis())) {
             answerFailure(exchange, RelayProtocol.Failure.NOT_SENT);
             return;
         }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -92,7 +92,7 @@
                         admitted.rule().targetMillis(),
                         admitted.rule().maxPauseMillis(),
                         admitted.rule().mayRunAgain()),
-                () -> mayRunOnceMore() && hasUntriedEngine());
+                () -> mayRunOnceMore() && !untriedEngines().isEmpty());
         this.capacityQueue = capacityQueue;
         this.backendClient = backendClient;
         this.engineTerms = engineTerms;
@@ -209,8 +209,10 @@
                 isUnopened ? resources.prefilledVersion() : Optional.empty());
         if (plan.isPresent()) {
             reserve(plan.get());
-        } else if (!hasUntriedEngine()) {
+        } else if (untriedEngines().isEmpty()) {
             giveUp("No engine of service " + admitted.service() + " is left to try.");
+        } else if (areAllPausedUntil(waitingPlace().expiresAtMillis(), untriedEngines())) {
+            giveUp("All engines of service " + admitted.service() + " have asked for a pause.");
         } else {
             waitForRoom();
         }
@@ -303,7 +305,9 @@
                     } else {
                         // The load of this request must not count when the refusal is judged.
                         resources.removeLoad();
-                        context.engineDispatch().refused(decode, work, engineTerms.memoryTokens(), now());
+                        if (!isPaused(decode)) {
+                            context.engineDispatch().refused(decode, work, engineTerms.memoryTokens(), now());
+                        }
                         reservationFailed(decode, "status " + answer.status());
                     }
                 },
@@ -412,7 +416,9 @@
         if (BackendClient.isConnectionLost(failure)) {
             recordCrash(prefill);
         }
-        recordLost(prefill, failure);
+        if (!isPaused(prefill)) {
+            recordLost(prefill, failure);
+        }
         if (rejected && !takeRetry()) {
             refuseFull("The prompt could not be read, and the retry budget is used up.");
             return;
@@ -420,14 +426,17 @@
         generate(plan.decode(), plan.expectedMillis());
     }
 
-    /** Tells whether a server is still listed and not draining; reservation and prefill may have taken seconds. */
+    /** Tells whether a server still takes requests; reservation and prefill may have taken seconds. */
     private boolean isUsable(Worker worker) {
-        return servers().stream().anyMatch(w -> w.id().equals(worker.id()));
+        return serversWithoutPause().stream().anyMatch(w -> w.id().equals(worker.id()));
     }
 
-    /** Plans the request anew, since a server of its plan has left before anything was sent there. */
+    /** Plans the request anew, since a server of its plan has left or paused before anything was sent there. */
     private void placeAgain(Worker left) {
-        log("result").with("server", left.id()).with("failure", "left").write();
+        log("result")
+                .with("server", left.id())
+                .with("failure", "left or paused")
+                .write();
         resources.removeLoad();
         place();
     }
@@ -463,8 +472,13 @@
                 run));
     }
 
-    private boolean hasUntriedEngine() {
-        return servers().stream().anyMatch(w -> w.stage().generates() && !tried.contains(w.id()));
+    private List<Worker> untriedEngines() {
+        return runners().stream().filter(w -> !tried.contains(w.id())).toList();
+    }
+
+    @Override
+    List<Worker> runners() {
+        return servers().stream().filter(w -> w.stage().generates()).toList();
     }
 
     boolean mayRunOnceMore() {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/ReachMonitor.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/ReachMonitor.java
@@ -72,7 +72,9 @@
         }
         if (!lost.isEmpty() && now >= nextProbeMillis) {
             nextProbeMillis = now + PROBE_INTERVAL_MILLIS;
-            context.reach().nextToProbe(lost).ifPresent(this::probe);
+            context.reach()
+                    .nextToProbe(context.pauses().withoutPause(lost, now))
+                    .ifPresent(this::probe);
         }
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/RoleCoordinator.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/RoleCoordinator.java
@@ -77,7 +77,9 @@
             if (terms.engine().isPresent()) {
                 Optional<RolePlan.Change> change =
                         plan.next(context.state().registry().usable(terms.name()));
-                change.filter(c -> contactedEngines.add(c.engine().id())).ifPresent(this::requestReport);
+                change.filter(c -> !context.pauses().isPaused(c.engine(), now))
+                        .filter(c -> contactedEngines.add(c.engine().id()))
+                        .ifPresent(this::requestReport);
             }
         }
     }
