Confirm with the store before concluding at which version a stream began

Callers got streams joined from two software versions where a host out of step took them up (ORDER): its registry, some seconds old, knew one version only, and that was taken for the version of the stream, before the hosts that know it were asked.

The hosts that keep origins are now asked first. The conclusion from the versions in service is drawn last, and only after the store has confirmed, in a call sent after the caller came back, that this host has applied all changes. If the version is known and no server of it is, the same call finds servers that have joined meanwhile.

StreamAcrossVersionsTest and ReturningCallerTest pass.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -29,6 +30,7 @@
 import org.guavathread.core.message.PeerMessage;
 import org.guavathread.core.publish.PublishedState;
 import org.guavathread.core.publish.StartSynchronisation;
+import org.guavathread.core.publish.StateChange;
 import org.guavathread.core.publish.StoreFollower;
 import org.guavathread.core.registry.DepartureNotice;
 import org.guavathread.core.routing.CallerBounds;
@@ -169,7 +171,8 @@
                 settings.listenPeers());
         this.reporter = new GossipReporter(identity, context, fleet, socket[0]);
         StoreClient store = platform.storeClient(context.client(), settings);
-        this.origins = new OriginDirectory(context, fleet, socket[0], store, settings.storeHistoryMillis());
+        this.origins = new OriginDirectory(
+                context, fleet, socket[0], store, settings.storeHistoryMillis(), this::stateConfirmed);
         this.router = new RequestRouter(
                 context,
                 reporter,
@@ -313,6 +316,10 @@
                 .encode(new PermitRelay.Grant(context.serverLimits().grant(server, perSecond, clock.nowMillis())));
     }
 
+    private void stateConfirmed(List<StateChange> changes) {
+        stateSynchroniser.handleChanges(changes, "store confirmation");
+    }
+
     private <T> T callOnLoop(Supplier<T> query, T fallback) {
         CompletableFuture<T> answer = new CompletableFuture<>();
         context.loop().execute(() -> answer.complete(query.get()));
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/OriginDirectory.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/OriginDirectory.java
@@ -10,6 +10,7 @@
 import org.guavathread.core.gossip.HostPhase;
 import org.guavathread.core.gossip.HostReport;
 import org.guavathread.core.hash.RendezvousHash;
+import org.guavathread.core.publish.StateChange;
 import org.guavathread.core.registry.SoftwareVersion;
 import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.stream.StreamOriginNotice;
@@ -24,8 +25,8 @@
 /**
  * Knows at which software version each caller's stream began. A host tells a few others, chosen by rendezvous hashing over
  * the attempt, when a stream begins, and asks them when a caller takes up a stream that it does not know. Where nobody is
- * left who knew, the stream can go on only if all servers of its time had the same version. Runs on the event loop's
- * thread.
+ * left who knew, the stream can go on only if all servers of its time had the same version, as the store confirms. Runs on
+ * the event loop's thread.
  */
 public final class OriginDirectory implements RequestRouter.Origins {
 
@@ -44,6 +45,7 @@
     private final FleetView fleet;
     private final GossipSocket socket;
     private final StoreHistoryReader history;
+    private final StoreConfirmation confirmation;
     private final StreamOrigins origins = new StreamOrigins();
     private final OriginRelay relay = new OriginRelay();
 
@@ -55,9 +57,16 @@
      * @param socket sends notices
      * @param store the store, whose history is read when no host knows a stream
      * @param historyMillis for how long the store remembers changes, in milliseconds; 0 if that is not known
+     * @param onChanges receives changes of the published state that are found on the way
      */
     public OriginDirectory(
-            GatewayContext context, FleetView fleet, GossipSocket socket, StoreClient store, long historyMillis) {
+            GatewayContext context,
+            FleetView fleet,
+            GossipSocket socket,
+            StoreClient store,
+            long historyMillis,
+            Consumer<List<StateChange>> onChanges) {
+        this.confirmation = new StoreConfirmation(context, store, onChanges);
         this.context = context;
         this.fleet = fleet;
         this.socket = socket;
@@ -115,15 +124,12 @@
         Search search = new Search(attemptId, service, maxAgeMillis + LATE_USE_MILLIS, onResult);
         Optional<Long> attempt = attemptId.map(StreamOrigins::keyOf);
         Optional<SoftwareVersion> known = attempt.flatMap(key -> origins.find(key, now()));
-        Optional<SoftwareVersion> only = search.onlyVersion();
         if (known.isPresent()) {
-            search.end("known", known);
-        } else if (only.isPresent()) {
-            search.end("only version", only);
+            search.found("known", known.get());
         } else if (attempt.isPresent()) {
             search.ask(attempt.get());
         } else {
-            search.readHistory();
+            search.concludeFromVersions();
         }
     }
 
@@ -174,7 +180,7 @@
             List<HostReport> keepers = keepersOf(attempt);
             answersLeft = keepers.size();
             if (keepers.isEmpty()) {
-                readHistory();
+                concludeFromVersions();
                 return;
             }
             keepers.forEach(peer -> context.client()
@@ -186,9 +192,9 @@
             answersLeft--;
             Optional<SoftwareVersion> version = versionIn(peer, answer, failure);
             if (version.isPresent()) {
-                end("told by " + peer.host(), version);
+                found("told by " + peer.host(), version.get());
             } else if (answersLeft == 0) {
-                readHistory();
+                concludeFromVersions();
             }
         }
 
@@ -208,6 +214,38 @@
             }
         }
 
+        /** Ends with a version; if this host knows no server of it, one may have joined unnoticed. */
+        private void found(String how, SoftwareVersion version) {
+            boolean isInService = context.state().registry().usable(service).stream()
+                    .anyMatch(w -> w.softwareVersion().equals(version));
+            if (ended || isInService) {
+                end(how, Optional.of(version));
+            } else {
+                confirmation.confirm(isCurrent -> end(how, Optional.of(version)));
+            }
+        }
+
+        /** Ends with the only version of the stream's time, if the store confirms that there was no other one. */
+        private void concludeFromVersions() {
+            if (ended) {
+                return;
+            }
+            if (onlyVersion().isEmpty()) {
+                readHistory();
+                return;
+            }
+            confirmation.confirm(isCurrent -> {
+                Optional<SoftwareVersion> only = onlyVersion();
+                if (isCurrent && only.isPresent()) {
+                    end("only version", only);
+                } else if (isCurrent) {
+                    readHistory();
+                } else {
+                    end("unknown", Optional.empty());
+                }
+            });
+        }
+
         private void readHistory() {
             if (ended) {
                 return;
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
@@ -246,7 +246,13 @@
         }
     }
 
-    private void handleChanges(List<StateChange> changes, String source) {
+    /**
+     * Logs changes of the published state and tells the parts of this host that depend on it.
+     *
+     * @param changes the changes
+     * @param source where they were learned
+     */
+    public void handleChanges(List<StateChange> changes, String source) {
         for (StateChange change : changes) {
             context.metrics().stateChanged(change.what());
             context.log()
