Receive requests whole before the HTTP codec sees them

RequestReceiver takes the place of ConnectionGuard and of the reader of bodies. All bytes of a connection go through one assembler under one lock (RequestAssembler, ChunkedBody, RequestFraming: no sockets, no recursion). The codec is given the head alone, and the next head only after the previous request has been answered and its thread has left the codec. Malformed chunks are 400 and the connection is closed. A throwable on a network thread ends its connection and is logged.

Ruled out: a patch of the hand-over (it would leave two readers of one input), larger stacks (only move the limit).

--- a/guavathread-router/src/main/java/org/guavathread/router/caller/CallerServer.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/CallerServer.java
@@ -1,11 +1,7 @@
 package org.guavathread.router.caller;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -13,22 +9,19 @@
 import java.util.function.Supplier;
 
 import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.ReadHandler;
-import org.glassfish.grizzly.http.io.NIOInputStream;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
-import org.guavathread.core.request.Refusal;
-import org.guavathread.core.request.RefusalCode;
 import org.guavathread.core.routing.CallerBounds;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.core.time.Clock;
 import org.guavathread.router.supervisor.Supervised;
+import org.tinylog.Logger;
 
 /**
- * HTTP server for callers. Bodies are read without blocking, so that a slow caller occupies a buffer but no thread.
+ * HTTP server for callers. Requests are received without blocking, so that a slow caller occupies a buffer but no thread.
  *
  * <pre>{@code
  * new CallerServer(settings.listenCallers(), ids, clock, exchange -> router.route(exchange)).start();
@@ -40,7 +33,6 @@
     public static final String REQUEST_ID_HEADER = "Guavathread-Request-Id";
 
     private static final long HOUSEKEEPING_INTERVAL_MILLIS = 500;
-    private static final int READ_CHUNK_BYTES = 8 * 1024;
 
     private final SocketAddressText listen;
     private final RequestIds ids;
@@ -48,10 +40,9 @@
     private final PauseDetector pauseDetector;
     private final Consumer<CallerExchange> handler;
     private final HttpServer server = new HttpServer();
-    private final ConnectionGuard guard;
+    private final RequestReceiver receiver;
     private Supplier<CallerBounds> bounds = () -> CallerLimits.DEFAULT_BOUNDS;
     private String name = "callers";
-    private final Map<BodyReader, Boolean> receiving = new ConcurrentHashMap<>();
     private final ScheduledExecutorService housekeeping =
             Executors.newSingleThreadScheduledExecutor(CallerServer::housekeepingThread);
 
@@ -75,7 +66,7 @@
         this.clock = clock;
         this.pauseDetector = pauseDetector;
         this.handler = handler;
-        this.guard = new ConnectionGuard(clock, () -> bounds.get());
+        this.receiver = new RequestReceiver(clock, () -> bounds.get());
     }
 
     /**
@@ -108,13 +99,13 @@
     @Override
     public void start() {
         NetworkListener listener = new NetworkListener(name, listen.ip(), listen.port());
-        // The guard applies the bounds in force, which may change; those of the listener are fixed at its start.
+        // The receiver applies the bounds in force, which may change; those of the listener are fixed at its start.
         listener.setMaxHttpHeaderSize(CallerLimits.MAX_HEADER_BYTES);
         listener.getKeepAlive().setIdleTimeoutInSeconds(-1);
         listener.getKeepAlive().setMaxRequestsCount(-1);
         listener.getTransport().setKeepAlive(true);
         listener.getTransport().setTcpNoDelay(true);
-        listener.registerAddOn(guard);
+        listener.registerAddOn(receiver);
         server.addListener(listener);
         server.getServerConfiguration().addHttpHandler(new Handler(), "/");
         server.getServerConfiguration()
@@ -147,13 +138,11 @@
      * @return requests whose body is being received
      */
     public int receiving() {
-        return receiving.size();
+        return receiver.receiving();
     }
 
     private void expire() {
-        long now = clock.nowMillis();
-        receiving.keySet().forEach(r -> r.expire(now));
-        guard.expire(now);
+        receiver.expire(clock.nowMillis());
     }
 
     private static Thread housekeepingThread(Runnable task) {
@@ -162,117 +151,21 @@
         return thread;
     }
 
-    /** Starts reading the body of each request. */
+    /** Passes requests, which have arrived whole, to the handler. */
     private final class Handler extends HttpHandler {
 
         @Override
         public void service(Request request, Response response) {
             response.suspend();
-            guard.onHeadersReceived(request.getRequest().getConnection());
-            BodyReader reader = new BodyReader(request, response);
-            if (request.getContentLengthLong() > reader.maxBodyBytes) {
-                reader.refuseTooLarge();
-                return;
-            }
-            receiving.put(reader, Boolean.TRUE);
-            reader.awaitMore();
-        }
-    }
-
-    /** Reads one body as it arrives and then passes the request to the handler. */
-    private final class BodyReader implements ReadHandler {
-
-        private final Request request;
-        private final Response response;
-        private final NIOInputStream in;
-        private final long deadlineMillis = clock.nowMillis() + CallerLimits.RECEIVE_DEADLINE_MILLIS;
-        private final int maxBodyBytes = bounds.get().maxBodyBytes();
-        private final long arrivedAtMillis = pauseDetector.arrivalMillis();
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-
-        BodyReader(Request request, Response response) {
-            this.request = request;
-            this.response = response;
-            this.in = request.getNIOInputStream();
-        }
-
-        @Override
-        public void onDataAvailable() throws Exception {
-            readAvailable();
-            if (body.size() > maxBodyBytes) {
-                refuseTooLarge();
-                return;
-            }
-            awaitMore();
-        }
-
-        private void awaitMore() {
-            // Grizzly recycles the request when its response ends, which may be before this call returns.
             Connection<?> connection = request.getRequest().getConnection();
-            in.notifyAvailable(this);
-            if (receiving.containsKey(this)) {
-                guard.onBodyAwaited(connection);
-            }
-        }
-
-        @Override
-        public void onAllDataRead() throws Exception {
-            readAvailable();
-            if (body.size() > maxBodyBytes) {
-                refuseTooLarge();
-            } else if (receiving.remove(this) != null) {
-                Optional<String> framingFault = RequestFraming.faultOf(request);
-                if (framingFault.isPresent()) {
-                    refuseAndClose(Refusal.notRun(RefusalCode.BAD_REQUEST, framingFault.get()));
-                    return;
-                }
-                GrizzlyExchange exchange = new GrizzlyExchange(
-                        ids.next(), request, response, body.toByteArray(), guard, arrivedAtMillis, clock);
-                guard.onRequestComplete(request.getRequest().getConnection());
-                handler.accept(exchange);
-            }
-        }
-
-        @Override
-        public void onError(Throwable failure) {
-            receiving.remove(this);
-            if (response.isSuspended()) {
-                response.resume();
-            }
-        }
-
-        void expire(long nowMillis) {
-            if (nowMillis >= deadlineMillis && receiving.remove(this) != null) {
-                refuseAndClose(Refusal.notRun(
-                        RefusalCode.BAD_REQUEST,
-                        "The body was not complete within " + CallerLimits.RECEIVE_DEADLINE_MILLIS
-                                + " ms; send it faster or in a smaller request."));
-            }
-        }
-
-        void refuseTooLarge() {
-            receiving.remove(this);
-            refuseAndClose(Refusal.notRun(
-                    RefusalCode.TOO_LARGE, "The body exceeds " + maxBodyBytes + " bytes; send a smaller one."));
-        }
-
-        private void refuseAndClose(Refusal refusal) {
-            GrizzlyExchange exchange =
-                    new GrizzlyExchange(ids.next(), request, response, new byte[0], guard, arrivedAtMillis, clock);
-            exchange.closeAfterAnswer();
-            // An earlier attempt of a request with an idempotency key may have arrived complete at another host.
-            boolean mayHaveRun = exchange.header("Idempotency-Key").isPresent();
-            exchange.refuse(mayHaveRun ? Refusal.unknown(refusal.code(), refusal.message()) : refusal);
-        }
-
-        private void readAvailable() throws IOException {
-            byte[] chunk = new byte[READ_CHUNK_BYTES];
-            while (in.isReady() && body.size() <= maxBodyBytes) {
-                int read = in.read(chunk);
-                if (read <= 0) {
-                    return;
-                }
-                body.write(chunk, 0, read);
+            try {
+                ReceivedRequest received = receiver.requestOf(connection);
+                long arrivedAtMillis = Math.min(received.headCompleteMillis(), pauseDetector.arrivalMillis());
+                handler.accept(
+                        new GrizzlyExchange(ids.next(), request, response, received, receiver, arrivedAtMillis, clock));
+            } catch (RuntimeException | Error e) {
+                Logger.error(e, "A request from {} ended without an answer.", connection.getPeerAddress());
+                connection.closeSilently();
             }
         }
     }
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/GrizzlyExchange.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/GrizzlyExchange.java
@@ -28,40 +28,34 @@
     private final RequestId id;
     private final Request request;
     private final Response response;
-    private final byte[] body;
+    private final ReceivedRequest received;
     private final long arrivedAtMillis;
-    private final ConnectionGuard guard;
+    private final RequestReceiver receiver;
     private final Clock clock;
     private final CloseListener<Closeable, CloseType> closeListener = (closeable, type) -> onCallerDisconnected();
     private final AtomicBoolean answered = new AtomicBoolean();
     private final List<Runnable> disconnectActions = new ArrayList<>();
     private boolean disconnected;
-    private boolean closeAfterAnswer;
     private volatile boolean complete;
 
     GrizzlyExchange(
             RequestId id,
             Request request,
             Response response,
-            byte[] body,
-            ConnectionGuard guard,
+            ReceivedRequest received,
+            RequestReceiver receiver,
             long arrivedAtMillis,
             Clock clock) {
         this.id = id;
         this.request = request;
         this.response = response;
-        this.body = body;
-        this.guard = guard;
+        this.received = received;
+        this.receiver = receiver;
         this.clock = clock;
         this.arrivedAtMillis = arrivedAtMillis;
         request.getRequest().getConnection().addCloseListener(closeListener);
     }
 
-    /** Closes the connection after the response, because a part of the request may still be in transit. */
-    void closeAfterAnswer() {
-        closeAfterAnswer = true;
-    }
-
     @Override
     public RequestId id() {
         return id;
@@ -103,7 +97,7 @@
 
     @Override
     public byte[] body() {
-        return body;
+        return received.body();
     }
 
     @Override
@@ -179,9 +173,6 @@
         headers.forEach(response::setHeader);
         response.setHeader(CallerServer.REQUEST_ID_HEADER, id.value());
         response.setContentLength(content.length);
-        if (closeAfterAnswer) {
-            response.setHeader("Connection", "close");
-        }
         try {
             response.getOutputStream().write(content);
             response.getOutputStream().flush();
@@ -194,16 +185,12 @@
     private void resume() {
         // A keep-alive connection serves many requests; a listener that each of them left behind would be a leak.
         request.getRequest().getConnection().removeCloseListener(closeListener);
-        if (closeAfterAnswer) {
-            // Grizzly would first read the rest of the body, which may never come.
-            request.getRequest().getConnection().closeSilently();
-        }
         // Grizzly recycles the request when it resumes.
         Connection<?> connection = request.getRequest().getConnection();
         if (response.isSuspended()) {
             response.resume();
         }
-        guard.onResponseComplete(connection);
+        receiver.onResponseComplete(connection);
     }
 
     /**
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/HeadScanner.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/HeadScanner.java
@@ -1,6 +1,5 @@
 package org.guavathread.router.caller;
 
-import java.util.Locale;
 import java.util.Optional;
 
 import org.guavathread.core.request.Refusal;
@@ -19,16 +18,9 @@
     /** Maximum length of a method name; longer than any registered one. */
     private static final int MAX_METHOD_BYTES = 24;
 
-    /** How much of each header line is kept: enough for the names of the headers that delimit the body. */
-    private static final int HEADER_PREFIX_BYTES = 32;
-
     private final StringBuilder requestLine = new StringBuilder();
-    private final StringBuilder header = new StringBuilder();
     private final int maxBytes;
-    private final boolean startsWithMethod;
     private int bytes;
-    private boolean hasContentLength;
-    private boolean hasTransferEncoding;
     private boolean requestLineComplete;
     private boolean lineEmpty = true;
     private boolean headerNameComplete;
@@ -36,29 +28,8 @@
     private boolean afterCarriageReturn;
     private boolean complete;
 
-    private HeadScanner(int maxBytes, boolean startsWithMethod) {
+    HeadScanner(int maxBytes) {
         this.maxBytes = maxBytes;
-        this.startsWithMethod = startsWithMethod;
-    }
-
-    /** Creates a scanner for the first head of a connection, whose first byte must begin a method. */
-    static HeadScanner first(int maxBytes) {
-        return new HeadScanner(maxBytes, true);
-    }
-
-    /**
-     * Creates a scanner for a later head. Its first bytes may be those of a body, whose head has arrived in one read with
-     * the previous request and is still to be parsed by the codec.
-     */
-    static HeadScanner next(int maxBytes) {
-        return new HeadScanner(maxBytes, false);
-    }
-
-    /** Creates a scanner in the complete state, for a request whose head was read elsewhere. */
-    static HeadScanner afterHead() {
-        HeadScanner scanner = new HeadScanner(0, false);
-        scanner.complete = true;
-        return scanner;
     }
 
     private static Optional<Refusal> malformed(String reason) {
@@ -108,15 +79,8 @@
             return malformed("A header line has no colon.");
         }
         headerNameComplete = false;
-        String name = header.toString().toLowerCase(Locale.ROOT);
-        hasContentLength |= name.startsWith("content-length:");
-        hasTransferEncoding |= name.startsWith("transfer-encoding:");
-        header.setLength(0);
         complete = wasEmpty;
-        // The codec drops the Content-Length of a chunked body, so only the scanner sees both headers.
-        return complete && hasContentLength && hasTransferEncoding
-                ? malformed("The request has both Content-Length and Transfer-Encoding.")
-                : Optional.empty();
+        return Optional.empty();
     }
 
     private Optional<Refusal> character(byte next) {
@@ -133,15 +97,10 @@
             headerNameComplete = next == ':';
         }
         lineEmpty = false;
-        if (requestLineComplete && header.length() < HEADER_PREFIX_BYTES) {
-            header.append((char) (next & 0xff));
-        }
         if (!requestLineComplete) {
             requestLine.append((char) (next & 0xff));
             methodComplete |= next == ' ' && requestLine.length() > 1;
-            boolean noMethod = startsWithMethod
-                    && !methodComplete
-                    && (next < 'A' || next > 'Z' || requestLine.length() > MAX_METHOD_BYTES);
+            boolean noMethod = !methodComplete && (next < 'A' || next > 'Z' || requestLine.length() > MAX_METHOD_BYTES);
             if (noMethod) {
                 // Refused at once: bytes of another protocol may never end the line.
                 return malformed("The first line is no HTTP/1.1 request.");
--- /dev/null
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/RequestReceiver.java
@@ -0,0 +1,347 @@
+package org.guavathread.router.caller;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.function.Supplier;
+
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.IOEvent;
+import org.glassfish.grizzly.ProcessorExecutor;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.http.server.AddOn;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.http.util.HttpStatus;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
+import org.guavathread.core.request.Refusal;
+import org.guavathread.core.request.RefusalCode;
+import org.guavathread.core.routing.CallerBounds;
+import org.guavathread.core.time.Clock;
+import org.tinylog.Logger;
+
+/**
+ * Receives requests whole before the HTTP codec sees them. All bytes of a connection go through one assembler under one
+ * lock, and the codec is given the head of the next request only after the previous one has been answered and its thread
+ * has left the codec, so no two threads are ever in the codec of one connection.
+ *
+ * <p>Goes on reading while a request is being served, since Grizzly would otherwise notice only after the response that
+ * the caller has closed the connection. Closes connections that are idle, or take to send a head, for longer than the
+ * bounds allow.
+ */
+final class RequestReceiver extends BaseFilter implements AddOn {
+
+    /** Bytes of later requests that are kept while one is being served; reading stops then. */
+    private static final int MAX_PENDING_BYTES = 64 * 1024;
+
+    private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+
+    private enum Phase {
+        /** The next request is arriving. */
+        RECEIVING,
+        /** A thread is passing a request to the codec. */
+        PASSING,
+        /** A request is being served. */
+        SERVING,
+        /** The connection is being closed. */
+        CLOSED
+    }
+
+    /** The input of one connection; guarded by itself. */
+    private final class Input {
+
+        private final RequestAssembler assembler = new RequestAssembler(bounds);
+        private final Deque<byte[]> pending = new ArrayDeque<>();
+        private int pendingBytes;
+        private Phase phase = Phase.RECEIVING;
+        private ReceivedRequest passed;
+        private boolean answeredWhilePassing;
+        private boolean continueSent;
+        private FilterChainContext heldRead;
+        private FilterChainContext releasedRead;
+        private volatile boolean receivingBody;
+        private volatile long closeAtMillis = clock.nowMillis() + bounds.get().idleMillis();
+
+        /** Assembles pending bytes; returns a request to pass on, if one is complete. */
+        private Optional<ReceivedRequest> assemble() {
+            long now = clock.nowMillis();
+            while (!pending.isEmpty()
+                    && !assembler.isComplete()
+                    && assembler.fault().isEmpty()) {
+                byte[] bytes = pending.poll();
+                boolean wasStarted = assembler.isStarted();
+                int used = assembler.accept(bytes, 0, now);
+                pendingBytes -= used;
+                if (used < bytes.length) {
+                    byte[] rest = Arrays.copyOfRange(bytes, used, bytes.length);
+                    pending.addFirst(rest);
+                }
+                if (!wasStarted && assembler.isStarted()) {
+                    closeAtMillis = now + bounds.get().headMillis();
+                }
+            }
+            boolean wasReceivingBody = receivingBody;
+            receivingBody = assembler.isReceivingBody();
+            if (receivingBody && !wasReceivingBody) {
+                closeAtMillis = now + CallerLimits.RECEIVE_DEADLINE_MILLIS;
+            }
+            if (!assembler.isComplete()) {
+                return Optional.empty();
+            }
+            closeAtMillis = Long.MAX_VALUE;
+            phase = Phase.PASSING;
+            answeredWhilePassing = false;
+            continueSent = false;
+            passed = assembler.take();
+            return Optional.of(passed);
+        }
+
+        private void beginNext() {
+            phase = Phase.RECEIVING;
+            passed = null;
+            closeAtMillis = clock.nowMillis() + bounds.get().idleMillis();
+            releasedRead = heldRead;
+            heldRead = null;
+        }
+    }
+
+    private final Clock clock;
+    private final Supplier<CallerBounds> bounds;
+    private final Set<Connection<?>> openConnections = ConcurrentHashMap.newKeySet();
+    private final Attribute<Input> inputs;
+
+    RequestReceiver(Clock clock, Supplier<CallerBounds> bounds) {
+        this.clock = clock;
+        this.bounds = bounds;
+        this.inputs = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(
+                "caller-connection-" + System.identityHashCode(this), Input::new);
+    }
+
+    @Override
+    public void setup(NetworkListener listener, FilterChainBuilder builder) {
+        // Index 0 is the transport filter; this one must see bytes before the HTTP codec does.
+        builder.add(1, this);
+    }
+
+    @Override
+    public NextAction handleAccept(FilterChainContext ctx) {
+        openConnections.add(ctx.getConnection());
+        return ctx.getInvokeAction();
+    }
+
+    @Override
+    public NextAction handleClose(FilterChainContext ctx) {
+        openConnections.remove(ctx.getConnection());
+        return ctx.getInvokeAction();
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) {
+        Connection<?> connection = ctx.getConnection();
+        Input input = inputs.get(connection);
+        synchronized (input) {
+            if (input.releasedRead == ctx) {
+                input.releasedRead = null;
+                return ctx.getStopAction();
+            }
+            Buffer buffer = ctx.getMessage();
+            byte[] bytes = new byte[buffer.remaining()];
+            buffer.get(bytes);
+            buffer.tryDispose();
+            input.pending.add(bytes);
+            input.pendingBytes += bytes.length;
+            if (input.phase != Phase.RECEIVING && input.pendingBytes > MAX_PENDING_BYTES) {
+                input.heldRead = ctx;
+                ctx.suspend();
+                return ctx.getSuspendAction();
+            }
+        }
+        advance(connection, input);
+        return ctx.getStopAction();
+    }
+
+    /** Passes requests on as they become complete, one after the other. */
+    private void advance(Connection<?> connection, Input input) {
+        try {
+            Optional<ReceivedRequest> next = next(connection, input);
+            while (next.isPresent()) {
+                passToCodec(connection, next.get());
+                next = returned(input) ? next(connection, input) : Optional.empty();
+            }
+        } catch (RuntimeException | Error e) {
+            Logger.error(e, "Receiving a request from {} failed.", connection.getPeerAddress());
+            connection.closeSilently();
+        }
+    }
+
+    private Optional<ReceivedRequest> next(Connection<?> connection, Input input) {
+        Optional<ReceivedRequest> request;
+        Optional<Refusal> fault;
+        boolean sendsContinue;
+        synchronized (input) {
+            if (input.phase != Phase.RECEIVING) {
+                return Optional.empty();
+            }
+            request = input.assemble();
+            fault = input.assembler.fault();
+            if (fault.isPresent()) {
+                input.phase = Phase.CLOSED;
+            }
+            sendsContinue = input.assembler.awaitsContinue() && !input.continueSent;
+            input.continueSent |= sendsContinue;
+        }
+        fault.ifPresent(refusal -> refuse(connection, refusal));
+        if (sendsContinue) {
+            contextFor(connection).write(wrap(CONTINUE), null);
+        }
+        return request;
+    }
+
+    /** Called when the thread that passed a request has left the codec; returns whether the next one may follow. */
+    private static boolean returned(Input input) {
+        FilterChainContext released;
+        boolean answered;
+        synchronized (input) {
+            answered = input.answeredWhilePassing;
+            if (answered) {
+                input.beginNext();
+            } else if (input.phase == Phase.PASSING) {
+                input.phase = Phase.SERVING;
+            }
+            released = input.releasedRead;
+        }
+        if (answered && released != null) {
+            released.resume();
+        }
+        return answered;
+    }
+
+    private void passToCodec(Connection<?> connection, ReceivedRequest request) {
+        FilterChain chain = (FilterChain) connection.getProcessor();
+        int codec = chain.indexOf(this) + 1;
+        FilterChainContext ctx = chain.obtainFilterChainContext(connection, codec, chain.size(), codec);
+        ctx.getInternalContext().setIoEvent(IOEvent.READ);
+        ctx.setMessage(wrap(request.head()));
+        ProcessorExecutor.execute(ctx.getInternalContext());
+    }
+
+    private FilterChainContext contextFor(Connection<?> connection) {
+        FilterChain chain = (FilterChain) connection.getProcessor();
+        int own = chain.indexOf(this);
+        return chain.obtainFilterChainContext(connection, own, chain.size(), own);
+    }
+
+    private static Buffer wrap(byte[] bytes) {
+        return Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes);
+    }
+
+    @SuppressWarnings("rawtypes")
+    private void refuse(Connection<?> connection, Refusal refusal) {
+        Logger.info("Refusing a request from {}: {}", connection.getPeerAddress(), refusal.message());
+        byte[] body = RefusalWriter.body(refusal);
+        HttpStatus status = HttpStatus.getHttpStatus(refusal.code().httpStatus());
+        String head = "HTTP/1.1 " + status.getStatusCode() + " " + status.getReasonPhrase()
+                + "\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: " + body.length
+                + "\r\n\r\n";
+        String answer = head + new String(body, StandardCharsets.UTF_8);
+        contextFor(connection)
+                .write(wrap(answer.getBytes(StandardCharsets.UTF_8)), new EmptyCompletionHandler<WriteResult>() {
+                    @Override
+                    public void completed(WriteResult result) {
+                        connection.closeSilently();
+                    }
+
+                    @Override
+                    public void failed(Throwable failure) {
+                        connection.closeSilently();
+                    }
+                });
+    }
+
+    /** Returns the request that the codec has been given last. */
+    ReceivedRequest requestOf(Connection<?> connection) {
+        Input input = inputs.get(connection);
+        synchronized (input) {
+            return input.passed;
+        }
+    }
+
+    /** Called when Grizzly has finished with a request; receives what arrived in the meantime. */
+    void onResponseComplete(Connection<?> connection) {
+        Input input = inputs.get(connection);
+        FilterChainContext released;
+        boolean hasPending;
+        synchronized (input) {
+            if (input.phase == Phase.PASSING) {
+                input.answeredWhilePassing = true;
+                return;
+            }
+            if (input.phase != Phase.SERVING) {
+                return;
+            }
+            input.beginNext();
+            released = input.releasedRead;
+            hasPending = !input.pending.isEmpty();
+        }
+        if (released != null) {
+            released.resume();
+        }
+        if (hasPending) {
+            Executor workers = connection.getTransport().getWorkerThreadPool();
+            workers.execute(() -> advance(connection, input));
+        }
+    }
+
+    /** Returns the number of requests whose head has arrived and whose body has not. */
+    int receiving() {
+        return (int) openConnections.stream()
+                .filter(c -> inputs.get(c).receivingBody)
+                .count();
+    }
+
+    void expire(long nowMillis) {
+        for (Connection<?> connection : openConnections) {
+            Input input = inputs.get(connection);
+            if (nowMillis >= input.closeAtMillis) {
+                expire(connection, input);
+            }
+        }
+    }
+
+    private void expire(Connection<?> connection, Input input) {
+        Refusal refusal;
+        synchronized (input) {
+            if (input.phase != Phase.RECEIVING) {
+                return;
+            }
+            input.phase = Phase.CLOSED;
+            if (!input.receivingBody) {
+                Logger.debug(
+                        "Closing the connection of {}: no complete request head arrived in time.",
+                        connection.getPeerAddress());
+                connection.closeSilently();
+                return;
+            }
+            input.receivingBody = false;
+            refusal = input.assembler.refusal(
+                    RefusalCode.BAD_REQUEST,
+                    "The body was not complete within " + CallerLimits.RECEIVE_DEADLINE_MILLIS
+                            + " ms; send it faster or in a smaller request.");
+        }
+        refuse(connection, refusal);
+    }
+}
