Pass the path on as it was sent

The path now comes from the request line as it arrived; the codec's own is used for a target in absolute form only.

--- a/guavathread-router/src/main/java/org/guavathread/router/caller/GrizzlyExchange.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/GrizzlyExchange.java
@@ -73,7 +73,12 @@
 
     @Override
     public String path() {
-        return request.getRequestURI();
+        // Grizzly takes what follows ";jsessionid=" out of the path.
+        String target = received.target();
+        int query = target.indexOf('?');
+        return target.startsWith("/")
+                ? target.substring(0, query < 0 ? target.length() : query)
+                : request.getRequestURI();
     }
 
     @Override
