Accept streams while stopping by their greatest length

Cause: the host took the caller's estimate of the length, which is right at the median and often far too low. The greatest length that the request allows counted only for streams that may not be resumed, and only while another host served callers.

It counts for all streams now, at admission and before the run.

Ruled out: a larger safety factor on the estimate, which refuses short streams and still accepts some that are too long.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
@@ -293,16 +293,16 @@
     }
 
     /**
-     * Returns how long a request is expected to take: a language request by the size of its answer. While another host
-     * serves callers, a request that may run only once is expected to take as long as it possibly can.
+     * Returns how long a request may take: a language request by the greatest length of its answer, since callers' estimates
+     * are often too low. While another host serves callers, a plain request that may run only once is expected to take as
+     * long as it possibly can.
      */
     private long expectedMillis(CallerRequest request, RouteRule rule) {
         Optional<EngineWork> work = request.work();
-        if (!rule.mayRunAgain() && load.othersServe()) {
-            return work.map(w -> context.answerPace().expectedRequestMillis(rule.targetMillis(), w.maxOutputTokens()))
-                    .orElse(UNKNOWN_DURATION_MILLIS);
+        if (work.isEmpty() && !rule.mayRunAgain() && load.othersServe()) {
+            return UNKNOWN_DURATION_MILLIS;
         }
-        int tokens = work.map(EngineWork::expectedOutputTokens).orElse(0);
+        int tokens = work.map(EngineWork::maxOutputTokens).orElse(0);
         return context.answerPace().expectedRequestMillis(rule.targetMillis(), tokens);
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -220,7 +220,7 @@
 
     private boolean canEndBeforeThisHost() {
         long expectedMillis =
-                context.answerPace().expectedRequestMillis(admitted.rule().targetMillis(), work.expectedOutputTokens());
+                context.answerPace().expectedRequestMillis(admitted.rule().targetMillis(), work.maxOutputTokens());
         return context.drain().accepts(now(), admitted.callerDeadlineMillis(), expectedMillis);
     }
 
