--- a/guavathread-router/src/test/java/org/guavathread/router/caller/UploadsInPiecesTest.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/caller/UploadsInPiecesTest.java
@@ -220,6 +220,18 @@
         }
     }
 
+    /** The codec refuses such targets itself, without the handler. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/a%zz", "/a%", "/%c0%80", "*", "/a%00b", "/..", "/../../x"})
+    void connectionIsOfUseAfterATargetThatTheCodecMayRefuse(String target) throws Exception {
+        try (Socket socket = connect()) {
+            send(socket.getOutputStream(), "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n");
+            send(socket.getOutputStream(), "GET /next HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+            String answers = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertTrue(answers.startsWith("HTTP/1.1 400") || answers.endsWith("/next"), answers);
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
