Keep a pause while the server's entry is missing

Pauses are now removed at their end only.

A connection whose request the codec answers itself, without the handler, is closed after 10 s instead of being kept for good.

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerPauses.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerPauses.java
@@ -15,7 +15,7 @@
  * one that is stated later does not replace it.
  *
  * <pre>{@code
- * pauses.state(worker, now + 2_000);
+ * pauses.state(worker, now + 2_000, now);
  * List<Worker> candidates = pauses.withoutPause(servers, now);
  * }</pre>
  */
@@ -35,8 +35,11 @@
      *
      * @param server the entry of the process that asked
      * @param untilMillis the end of the pause
+     * @param nowMillis the current time
      */
-    public void state(Worker server, long untilMillis) {
+    public void state(Worker server, long untilMillis, long nowMillis) {
+        // A pause outlives the server's entry, which may be missing for a while.
+        pauses.values().removeIf(p -> p.untilMillis() <= nowMillis);
         Pause stated = new Pause(server.startedAtMillis(), untilMillis);
         pauses.merge(server.id(), stated, ServerPauses::merge);
     }
@@ -96,13 +99,4 @@
                 .filter(p -> nowMillis < p.untilMillis())
                 .count();
     }
-
-    /**
-     * Removes the pauses of servers that no longer exist.
-     *
-     * @param present ids of the servers that exist
-     */
-    public void retain(Collection<BackendServerId> present) {
-        pauses.keySet().retainAll(present);
-    }
 }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerNotices.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerNotices.java
@@ -83,7 +83,7 @@
         }
         notice.pausedUntilMillis().ifPresent(until -> {
             metrics.serverNotice("pause");
-            pauses.state(server, until);
+            pauses.state(server, until, now);
             entry(server, request, head, "pause")
                     .with("pauseMillis", until - now)
                     .write();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
@@ -268,7 +268,6 @@
             context.health().retain(context.state().registry().ids());
             context.reach().retain(context.state().registry().ids());
             context.serverLimits().retain(context.state().registry().ids());
-            context.pauses().retain(context.state().registry().ids());
             context.notices().retain(context.state().registry().ids());
             onChange.run();
         }
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/RequestReceiver.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/RequestReceiver.java
@@ -69,6 +69,7 @@
         private int pendingBytes;
         private Phase phase = Phase.RECEIVING;
         private ReceivedRequest passed;
+        private boolean handled;
         private boolean answeredWhilePassing;
         private boolean continueSent;
         private FilterChainContext heldRead;
@@ -104,6 +105,7 @@
             }
             closeAtMillis = Long.MAX_VALUE;
             phase = Phase.PASSING;
+            handled = false;
             answeredWhilePassing = false;
             continueSent = false;
             passed = assembler.take();
@@ -180,7 +182,7 @@
             Optional<ReceivedRequest> next = next(connection, input);
             while (next.isPresent()) {
                 passToCodec(connection, next.get());
-                next = returned(input) ? next(connection, input) : Optional.empty();
+                next = leftCodec(input) ? next(connection, input) : Optional.empty();
             }
         } catch (RuntimeException | Error e) {
             Logger.error(e, "Receiving a request from {} failed.", connection.getPeerAddress());
@@ -212,7 +214,7 @@
     }
 
     /** Called when the thread that passed a request has left the codec; returns whether the next one may follow. */
-    private static boolean returned(Input input) {
+    private boolean leftCodec(Input input) {
         FilterChainContext released;
         boolean answered;
         synchronized (input) {
@@ -221,6 +223,10 @@
                 input.beginNext();
             } else if (input.phase == Phase.PASSING) {
                 input.phase = Phase.SERVING;
+                if (!input.handled) {
+                    // The codec may have answered the request itself, which nothing else would tell.
+                    input.closeAtMillis = clock.nowMillis() + CallerLimits.RECEIVE_DEADLINE_MILLIS;
+                }
             }
             released = input.releasedRead;
         }
@@ -276,6 +282,8 @@
     ReceivedRequest requestOf(Connection<?> connection) {
         Input input = inputs.get(connection);
         synchronized (input) {
+            input.handled = true;
+            input.closeAtMillis = Long.MAX_VALUE;
             return input.passed;
         }
     }
@@ -325,14 +333,16 @@
     private void expire(Connection<?> connection, Input input) {
         Refusal refusal;
         synchronized (input) {
-            if (input.phase != Phase.RECEIVING) {
+            boolean isUnhandled = input.phase == Phase.SERVING && !input.handled;
+            if (input.phase != Phase.RECEIVING && !isUnhandled) {
                 return;
             }
             input.phase = Phase.CLOSED;
             if (!input.receivingBody) {
                 Logger.debug(
-                        "Closing the connection of {}: no complete request head arrived in time.",
-                        connection.getPeerAddress());
+                        "Closing the connection of {}: {}.",
+                        connection.getPeerAddress(),
+                        isUnhandled ? "its request was not handled" : "no complete request head arrived in time");
                 connection.closeSilently();
                 return;
             }
