Answer a Content-Length that is no number with 400

Callers whose Content-Length is no number lost their connection without an answer: RequestAssembler parsed the length before it looked at the fault that the framing had found.

The length is parsed once, and only if the framing has no fault.

--- a/guavathread-router/src/main/java/org/guavathread/router/caller/RequestAssembler.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/RequestAssembler.java
@@ -26,6 +26,7 @@
     private ByteArrayOutputStream body;
     private RequestFraming framing;
     private ChunkedBody chunks;
+    private long contentLength;
     private CallerBounds inForce;
     private Refusal fault;
     private long headCompleteMillis;
@@ -77,16 +78,20 @@
 
     private void headComplete() {
         framing = new RequestFraming(head.toByteArray());
-        framing.fault().ifPresent(reason -> fault = Refusal.notRun(RefusalCode.BAD_REQUEST, reason));
-        if (framing.isChunked()) {
+        Optional<String> unclear = framing.fault();
+        if (unclear.isPresent()) {
+            fault = Refusal.notRun(RefusalCode.BAD_REQUEST, unclear.get());
+        } else if (framing.isChunked()) {
             chunks = new ChunkedBody(body);
+        } else {
+            contentLength = framing.contentLength();
+            refuseIfTooLarge(contentLength);
         }
-        refuseIfTooLarge(framing.contentLength().orElse(0));
     }
 
     private int acceptBody(byte[] bytes, int from) {
         if (chunks == null) {
-            int missing = (int) framing.contentLength().orElse(0) - body.size();
+            int missing = (int) contentLength - body.size();
             int length = Math.min(missing, bytes.length - from);
             body.write(bytes, from, length);
             return from + length;
@@ -139,7 +144,7 @@
         if (framing == null || fault != null) {
             return false;
         }
-        return chunks == null ? body.size() == framing.contentLength().orElse(0) : chunks.isComplete();
+        return chunks == null ? body.size() == contentLength : chunks.isComplete();
     }
 
     /** Returns the request that is complete, and begins the next one. */
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/RequestFraming.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/RequestFraming.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalLong;
 
 /**
  * How a head delimits the body that follows it. Detects requests whose end two parsers could place differently. The body
@@ -89,12 +88,9 @@
         return !transferEncodings.isEmpty();
     }
 
-    /** Returns the length of the body; empty if it is chunked. */
-    OptionalLong contentLength() {
-        if (isChunked()) {
-            return OptionalLong.empty();
-        }
-        return OptionalLong.of(contentLengths.isEmpty() ? 0 : Long.parseLong(contentLengths.get(0)));
+    /** Returns the length of a body that is not chunked, if the framing has no fault. */
+    long contentLength() {
+        return contentLengths.isEmpty() ? 0 : Long.parseLong(contentLengths.get(0));
     }
 
     /** Tells whether the caller sends its body only when it is told to. */
--- a/guavathread-router/src/test/java/org/guavathread/router/caller/UploadsInPiecesTest.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/caller/UploadsInPiecesTest.java
@@ -232,6 +232,18 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"abc", "", "1e3", "+5", "-1", "5, 5", "99999999999999999999"})
+    void contentLengthThatIsNoNumberIsRefused(String length) throws Exception {
+        try (Socket socket = connect()) {
+            send(
+                    socket.getOutputStream(),
+                    "POST /bad HTTP/1.1\r\nHost: a\r\nContent-Length: " + length + "\r\n\r\nhello");
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertTrue(answer.startsWith("HTTP/1.1 400") && answer.contains("\"not_run\""), answer);
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
