--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/BackendClient.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/BackendClient.java
@@ -48,12 +48,7 @@
     }
 
     /** Sends a request and buffers the complete answer. */
-    HttpCall send(
-            Worker worker, HttpRequest request, Consumer<HttpResponse> onResponse, Consumer<Throwable> onFailure) {
-        Consumer<HttpResponse> onAnswer = answer -> {
-            context.notices().heard(worker, request, answer.head());
-            onResponse.accept(answer);
-        };
+    HttpCall send(Worker worker, HttpRequest request, Consumer<HttpResponse> onAnswer, Consumer<Throwable> onFailure) {
         if (context.isOutOfReach(worker.service())) {
             return new RelayedCall.Whole(context, relays, worker, request, onAnswer, onFailure).begin();
         }
@@ -65,6 +60,7 @@
                 request,
                 answer -> {
                     context.reach().connected(worker.id(), openedAtMillis);
+                    context.notices().heard(worker, request, answer.head());
                     onAnswer.accept(answer);
                 },
                 failure -> {
@@ -80,9 +76,8 @@
 
     /** Sends a request and passes the answer on as it arrives. */
     HttpCall stream(Worker worker, HttpRequest request, Receiver receiver) {
-        Receiver reading = new NoticeReader(worker, request, receiver);
         if (context.isOutOfReach(worker.service())) {
-            return new RelayedCall.Streamed(context, relays, worker, request, reading).begin();
+            return new RelayedCall.Streamed(context, relays, worker, request, receiver).begin();
         }
         long openedAtMillis = context.loop().nowMillis();
         ReplaceableCall call = new ReplaceableCall();
@@ -91,25 +86,26 @@
             @Override
             public void onHead(HttpHead head) {
                 context.reach().connected(worker.id(), openedAtMillis);
-                reading.onHead(head);
+                context.notices().heard(worker, request, head);
+                receiver.onHead(head);
             }
 
             @Override
             public void onBytes(byte[] bytes) {
-                reading.onBytes(bytes);
+                receiver.onBytes(bytes);
             }
 
             @Override
             public void onDone() {
-                reading.onDone();
+                receiver.onDone();
             }
 
             @Override
             public void onFailure(HttpExchangeException failure) {
                 if (!call.isCancelled() && isNowOutOfReach(worker, failure)) {
-                    call.replace(new RelayedCall.Streamed(context, relays, worker, request, reading).begin());
+                    call.replace(new RelayedCall.Streamed(context, relays, worker, request, receiver).begin());
                 } else {
-                    reading.onFailure(failure);
+                    receiver.onFailure(failure);
                 }
             }
         }));
@@ -167,41 +163,6 @@
         return failure instanceof HttpExchangeException && !isNotSent(failure) && failure.getCause() != null;
     }
 
-    /** Reads what the server says of itself before the answer is handled. */
-    private final class NoticeReader implements Receiver {
-
-        private final Worker worker;
-        private final HttpRequest request;
-        private final Receiver receiver;
-
-        private NoticeReader(Worker worker, HttpRequest request, Receiver receiver) {
-            this.worker = worker;
-            this.request = request;
-            this.receiver = receiver;
-        }
-
-        @Override
-        public void onHead(HttpHead head) {
-            context.notices().heard(worker, request, head);
-            receiver.onHead(head);
-        }
-
-        @Override
-        public void onBytes(byte[] bytes) {
-            receiver.onBytes(bytes);
-        }
-
-        @Override
-        public void onDone() {
-            receiver.onDone();
-        }
-
-        @Override
-        public void onFailure(HttpExchangeException failure) {
-            receiver.onFailure(failure);
-        }
-    }
-
     /** A call whose exchange is replaced by one through another host. */
     private static final class ReplaceableCall implements HttpCall {
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
@@ -125,6 +125,11 @@
         return servers();
     }
 
+    /** Returns the servers that can run the request and to which it has not been sent. */
+    List<Worker> untried() {
+        return runners().stream().filter(w -> !tried.contains(w.id())).toList();
+    }
+
     /** Returns the servers that are in no pause. */
     List<Worker> serversWithoutPause() {
         return context.pauses().withoutPause(servers(), now());
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/GatewayContext.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/GatewayContext.java
@@ -1,5 +1,6 @@
 package org.guavathread.gateway.call;
 
+import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
 
 import org.guavathread.core.dispatch.AnswerDurationEstimator;
@@ -13,6 +14,7 @@
 import org.guavathread.core.dispatch.ServerPauses;
 import org.guavathread.core.dispatch.ServerReach;
 import org.guavathread.core.publish.PublishedState;
+import org.guavathread.core.registry.Worker;
 import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.share.FairShareTracker;
 import org.guavathread.core.share.SharedRetryBudget;
@@ -23,6 +25,8 @@
 import org.guavathread.gateway.protocol.BackendProtocol;
 import org.guavathread.gateway.protocol.CallerProtocol;
 import org.guavathread.router.http.HttpClient;
+import org.guavathread.router.http.HttpRequest;
+import org.guavathread.router.http.HttpResponse;
 
 /**
  * Components and state shared by all requests.
@@ -86,4 +90,21 @@
                 && (reach.isOutOfReach(state.registry().usable(service), now)
                         || reach.isOutOfReach(state.registry().usable(), now));
     }
+
+    /**
+     * Asks a backend server something on this host's own account, not through another host.
+     *
+     * @param server the server
+     * @param request the request
+     * @param onEnd receives the answer, or the failure, on the event loop's thread
+     */
+    public void ask(Worker server, HttpRequest request, BiConsumer<HttpResponse, Throwable> onEnd) {
+        client.send(server.address(), request)
+                .whenComplete((answer, failure) -> loop.execute(() -> {
+                    if (failure == null) {
+                        notices.heard(server, request, answer.head());
+                    }
+                    onEnd.accept(answer, failure);
+                }));
+    }
 }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
@@ -85,11 +85,9 @@
     }
 
     private void refuseWithoutServer() {
-        List<Worker> untried =
-                servers().stream().filter(w -> !tried.contains(w.id())).toList();
-        OptionalLong returnsAtMillis = context.pauses().firstReturnMillis(untried, now());
+        OptionalLong returnsAtMillis = context.pauses().firstReturnMillis(untried(), now());
         if (returnsAtMillis.isPresent()) {
-            waitForReturn(untried, returnsAtMillis.getAsLong());
+            waitForReturn(untried(), returnsAtMillis.getAsLong());
         } else if (!tried.isEmpty()) {
             refuseFull("No backend server is left that has not refused the request.");
         } else if (servers().isEmpty()) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RelayedCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RelayedCall.java
@@ -90,6 +90,12 @@
         }
     }
 
+    /** Reads what the server says of itself in the head of its answer; returns the head. */
+    final HttpHead heard(HttpHead head) {
+        context.notices().heard(worker, request, head);
+        return head;
+    }
+
     private void tryNext() {
         if (!cancelled) {
             begin();
@@ -138,7 +144,7 @@
             if (failure.isPresent()) {
                 notAnswered(failure.get());
             } else {
-                onAnswer.accept(new HttpResponse(RelayProtocol.headOfServer(answer.head()), answer.body()));
+                onAnswer.accept(new HttpResponse(heard(RelayProtocol.headOfServer(answer.head())), answer.body()));
             }
         }
 
@@ -173,7 +179,7 @@
         public void onHead(HttpHead head) {
             failure = RelayProtocol.failureIn(head);
             if (failure.isEmpty()) {
-                receiver.onHead(RelayProtocol.headOfServer(head));
+                receiver.onHead(heard(RelayProtocol.headOfServer(head)));
             }
         }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -92,7 +92,7 @@
                         admitted.rule().targetMillis(),
                         admitted.rule().maxPauseMillis(),
                         admitted.rule().mayRunAgain()),
-                () -> mayRunOnceMore() && !untriedEngines().isEmpty());
+                () -> mayRunOnceMore() && !untried().isEmpty());
         this.capacityQueue = capacityQueue;
         this.backendClient = backendClient;
         this.engineTerms = engineTerms;
@@ -209,9 +209,9 @@
                 isUnopened ? resources.prefilledVersion() : Optional.empty());
         if (plan.isPresent()) {
             reserve(plan.get());
-        } else if (untriedEngines().isEmpty()) {
+        } else if (untried().isEmpty()) {
             giveUp("No engine of service " + admitted.service() + " is left to try.");
-        } else if (areAllPausedUntil(waitingPlace().expiresAtMillis(), untriedEngines())) {
+        } else if (areAllPausedUntil(waitingPlace().expiresAtMillis(), untried())) {
             giveUp("All engines of service " + admitted.service() + " have asked for a pause.");
         } else {
             waitForRoom();
@@ -472,10 +472,6 @@
                 run));
     }
 
-    private List<Worker> untriedEngines() {
-        return runners().stream().filter(w -> !tried.contains(w.id())).toList();
-    }
-
     @Override
     List<Worker> runners() {
         return servers().stream().filter(w -> w.stage().generates()).toList();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/ReachMonitor.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/ReachMonitor.java
@@ -81,16 +81,12 @@
     private void probe(Worker server) {
         long openedAtMillis = context.loop().nowMillis();
         HttpRequest request = context.backendProtocol().report(server, openedAtMillis + PROBE_TIMEOUT_MILLIS);
-        context.client()
-                .send(server.address(), request)
-                .whenComplete((answer, failure) -> context.loop().execute(() -> {
-                    if (failure == null) {
-                        context.notices().heard(server, request, answer.head());
-                        context.reach().connected(server.id(), openedAtMillis);
-                    } else if (failure instanceof RequestNotSentException notSent
-                            && notSent.step() == HttpStep.CONNECT) {
-                        context.reach().notConnected(server.id(), context.loop().nowMillis());
-                    }
-                }));
+        context.ask(server, request, (answer, failure) -> {
+            if (failure == null) {
+                context.reach().connected(server.id(), openedAtMillis);
+            } else if (failure instanceof RequestNotSentException notSent && notSent.step() == HttpStep.CONNECT) {
+                context.reach().notConnected(server.id(), context.loop().nowMillis());
+            }
+        });
     }
 }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/RoleCoordinator.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/RoleCoordinator.java
@@ -89,26 +89,18 @@
         nextOrderAtMillis = context.loop().nowMillis() + MIN_ORDER_INTERVAL_MILLIS;
         Worker engine = change.engine();
         long untilMillis = context.loop().nowMillis() + CALL_TIMEOUT_MILLIS;
-        HttpRequest request = context.backendProtocol().report(engine, untilMillis);
-        context.client()
-                .send(engine.address(), request)
-                .whenComplete((answer, failure) -> context.loop().execute(() -> {
-                    if (failure == null) {
-                        context.notices().heard(engine, request, answer.head());
-                    }
-                    Optional<EngineReport> report =
-                            failure == null ? context.backendProtocol().reportOf(engine, answer) : Optional.empty();
-                    boolean acceptsOrder = report.filter(
-                                    r -> r.stage() == engine.stage() && !r.isBusy() && r.ordersTaken() == 0)
-                            .isPresent();
-                    if (acceptsOrder && fleet.isLeader(context.loop().nowMillis())) {
-                        order(change);
-                    } else {
-                        log(
-                                change,
-                                "not ordered: " + report.map(Object::toString).orElse("no report"));
-                    }
-                }));
+        context.ask(engine, context.backendProtocol().report(engine, untilMillis), (answer, failure) -> {
+            Optional<EngineReport> report =
+                    failure == null ? context.backendProtocol().reportOf(engine, answer) : Optional.empty();
+            boolean acceptsOrder = report.filter(
+                            r -> r.stage() == engine.stage() && !r.isBusy() && r.ordersTaken() == 0)
+                    .isPresent();
+            if (acceptsOrder && fleet.isLeader(context.loop().nowMillis())) {
+                order(change);
+            } else {
+                log(change, "not ordered: " + report.map(Object::toString).orElse("no report"));
+            }
+        });
     }
 
     private void order(RolePlan.Change change) {
@@ -116,14 +108,10 @@
         Worker engine = change.engine();
         HttpRequest request =
                 context.backendProtocol().changeStage(engine, change.stage(), self, now, now + CALL_TIMEOUT_MILLIS);
-        context.client()
-                .send(engine.address(), request)
-                .whenComplete((answer, failure) -> context.loop().execute(() -> {
-                    if (failure == null) {
-                        context.notices().heard(engine, request, answer.head());
-                    }
-                    log(change, failure == null ? statusOf(answer) : failure.getMessage());
-                }));
+        context.ask(
+                engine,
+                request,
+                (answer, failure) -> log(change, failure == null ? statusOf(answer) : failure.getMessage()));
     }
 
     private static String statusOf(HttpResponse answer) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/RunSurvey.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/RunSurvey.java
@@ -6,7 +6,6 @@
 import org.guavathread.core.registry.Worker;
 import org.guavathread.gateway.call.GatewayContext;
 import org.guavathread.gateway.protocol.EngineReport;
-import org.guavathread.router.http.HttpRequest;
 
 /**
  * Asks engines, when a host starts, which streams they are running: the hosts that began them may all have ended, and the
@@ -44,23 +43,17 @@
 
     private void ask(Worker engine) {
         long untilMillis = context.loop().nowMillis() + REPORT_TIMEOUT_MILLIS;
-        HttpRequest request = context.backendProtocol().report(engine, untilMillis);
-        context.client()
-                .send(engine.address(), request)
-                .whenComplete((answer, failure) -> context.loop().execute(() -> {
-                    if (failure == null) {
-                        context.notices().heard(engine, request, answer.head());
-                    }
-                    Optional<EngineReport> report =
-                            failure == null ? context.backendProtocol().reportOf(engine, answer) : Optional.empty();
-                    report.ifPresent(r -> r.streams().forEach(id -> origins.isRunning(id, engine.softwareVersion())));
-                    context.log()
-                            .entry("survey")
-                            .with("server", engine.id())
-                            .with("serverVersion", engine.softwareVersion())
-                            .with("streams", report.map(r -> r.streams().size()).orElse(0))
-                            .with("failure", failure == null ? "none" : failure.getMessage())
-                            .write();
-                }));
+        context.ask(engine, context.backendProtocol().report(engine, untilMillis), (answer, failure) -> {
+            Optional<EngineReport> report =
+                    failure == null ? context.backendProtocol().reportOf(engine, answer) : Optional.empty();
+            report.ifPresent(r -> r.streams().forEach(id -> origins.isRunning(id, engine.softwareVersion())));
+            context.log()
+                    .entry("survey")
+                    .with("server", engine.id())
+                    .with("serverVersion", engine.softwareVersion())
+                    .with("streams", report.map(r -> r.streams().size()).orElse(0))
+                    .with("failure", failure == null ? "none" : failure.getMessage())
+                    .write();
+        });
     }
 }
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/CallerServer.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/CallerServer.java
@@ -159,7 +159,7 @@
             response.suspend();
             Connection<?> connection = request.getRequest().getConnection();
             try {
-                ReceivedRequest received = receiver.requestOf(connection);
+                ReceivedRequest received = receiver.beginHandling(connection);
                 long arrivedAtMillis = Math.min(received.headCompleteMillis(), pauseDetector.arrivalMillis());
                 handler.accept(
                         new GrizzlyExchange(ids.next(), request, response, received, receiver, arrivedAtMillis, clock));
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/RequestAssembler.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/RequestAssembler.java
@@ -30,21 +30,17 @@
     private CallerBounds inForce;
     private Refusal fault;
     private long headCompleteMillis;
-    private boolean started;
 
     RequestAssembler(Supplier<CallerBounds> bounds) {
         this.bounds = bounds;
-        reset();
     }
 
-    private void reset() {
+    /** Begins a request with its first byte: the bounds may have changed while the connection was idle. */
+    private void begin() {
         inForce = bounds.get();
         scanner = new HeadScanner(inForce.maxHeadBytes());
         head = new ByteArrayOutputStream();
         body = new ByteArrayOutputStream(0);
-        framing = null;
-        chunks = null;
-        started = false;
     }
 
     /**
@@ -57,10 +53,8 @@
      */
     int accept(byte[] bytes, int from, long nowMillis) {
         int at = from;
-        if (!started && at < bytes.length) {
-            // The bounds may have changed while the connection was idle.
-            reset();
-            started = true;
+        if (!isStarted() && at < bytes.length) {
+            begin();
         }
         while (at < bytes.length && framing == null && fault == null) {
             byte next = bytes[at++];
@@ -127,7 +121,7 @@
 
     /** Tells whether a part of a request has arrived. */
     boolean isStarted() {
-        return started;
+        return head != null;
     }
 
     /** Tells whether a head has arrived whole and its body has not. */
@@ -151,7 +145,10 @@
     ReceivedRequest take() {
         ReceivedRequest request = new ReceivedRequest(
                 framing.target(), framing.headWithoutFraming(), body.toByteArray(), headCompleteMillis);
-        reset();
+        head = null;
+        body = null;
+        framing = null;
+        chunks = null;
         return request;
     }
 }
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/RequestReceiver.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/RequestReceiver.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.Arrays;
 import java.util.Deque;
 import java.util.Optional;
 import java.util.Set;
@@ -66,6 +65,9 @@
 
         private final RequestAssembler assembler = new RequestAssembler(bounds);
         private final Deque<byte[]> pending = new ArrayDeque<>();
+        /** Index of the first byte of the first pending array that has not been assembled. */
+        private int pendingFrom;
+
         private int pendingBytes;
         private Phase phase = Phase.RECEIVING;
         private ReceivedRequest passed;
@@ -83,13 +85,14 @@
             while (!pending.isEmpty()
                     && !assembler.isComplete()
                     && assembler.fault().isEmpty()) {
-                byte[] bytes = pending.poll();
+                byte[] bytes = pending.peek();
                 boolean wasStarted = assembler.isStarted();
-                int used = assembler.accept(bytes, 0, now);
-                pendingBytes -= used;
-                if (used < bytes.length) {
-                    byte[] rest = Arrays.copyOfRange(bytes, used, bytes.length);
-                    pending.addFirst(rest);
+                int end = assembler.accept(bytes, pendingFrom, now);
+                pendingBytes -= end - pendingFrom;
+                pendingFrom = end;
+                if (end == bytes.length) {
+                    pending.remove();
+                    pendingFrom = 0;
                 }
                 if (!wasStarted && assembler.isStarted()) {
                     closeAtMillis = now + bounds.get().headMillis();
@@ -208,7 +211,7 @@
         }
         fault.ifPresent(refusal -> refuse(connection, refusal));
         if (sendsContinue) {
-            contextFor(connection).write(wrap(CONTINUE), null);
+            contextFor(connection, 0).write(wrap(CONTINUE), null);
         }
         return request;
     }
@@ -237,18 +240,17 @@
     }
 
     private void passToCodec(Connection<?> connection, ReceivedRequest request) {
-        FilterChain chain = (FilterChain) connection.getProcessor();
-        int codec = chain.indexOf(this) + 1;
-        FilterChainContext ctx = chain.obtainFilterChainContext(connection, codec, chain.size(), codec);
+        FilterChainContext ctx = contextFor(connection, 1);
         ctx.getInternalContext().setIoEvent(IOEvent.READ);
         ctx.setMessage(wrap(request.head()));
         ProcessorExecutor.execute(ctx.getInternalContext());
     }
 
-    private FilterChainContext contextFor(Connection<?> connection) {
+    /** Returns a context of its own that begins a number of filters after this one. */
+    private FilterChainContext contextFor(Connection<?> connection, int after) {
         FilterChain chain = (FilterChain) connection.getProcessor();
-        int own = chain.indexOf(this);
-        return chain.obtainFilterChainContext(connection, own, chain.size(), own);
+        int first = chain.indexOf(this) + after;
+        return chain.obtainFilterChainContext(connection, first, chain.size(), first);
     }
 
     private static Buffer wrap(byte[] bytes) {
@@ -264,7 +266,7 @@
                 + "\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: " + body.length
                 + "\r\n\r\n";
         String answer = head + new String(body, StandardCharsets.UTF_8);
-        contextFor(connection)
+        contextFor(connection, 0)
                 .write(wrap(answer.getBytes(StandardCharsets.UTF_8)), new EmptyCompletionHandler<WriteResult>() {
                     @Override
                     public void completed(WriteResult result) {
@@ -278,8 +280,8 @@
                 });
     }
 
-    /** Returns the request that the codec has been given last. */
-    ReceivedRequest requestOf(Connection<?> connection) {
+    /** Called when the codec has parsed the head; returns the request, which the caller of this method answers. */
+    ReceivedRequest beginHandling(Connection<?> connection) {
         Input input = inputs.get(connection);
         synchronized (input) {
             input.handled = true;
