Log which process of a server a host has in mind, and which one reports

The hypotheses differ in which process answers; the lines place, send and first name the version of a server, but not the start of the process that had it, and a report's start time was not read. They do now, and the survey of a starting host logs both: where they differ, the host's entry is of a process that has ended.

No change of logic.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -266,6 +266,7 @@
         log("place")
                 .with("decode", decode.id())
                 .with("decodeVersion", decode.softwareVersion())
+                .with("decodeStartedAt", decode.startedAtMillis())
                 .with("prefill", separatePrefill ? plan.prefill().get().id() : "none")
                 .with("prefillVersion", separatePrefill ? plan.prefill().get().softwareVersion() : "none")
                 .with("expectedMillis", Math.round(plan.expectedMillis()))
@@ -458,6 +459,7 @@
         log("send")
                 .with("server", worker.id())
                 .with("serverVersion", worker.softwareVersion())
+                .with("startedAt", worker.startedAtMillis())
                 .with("promptFrom", usable.map(p -> p.engine().id().value()).orElse("itself"))
                 .with("reserved", reserved.isPresent())
                 .with("resumeAfter", lastEventId.orElse("none"))
@@ -575,6 +577,7 @@
         log("first")
                 .with("server", run.worker().id())
                 .with("serverVersion", run.worker().softwareVersion())
+                .with("startedAt", run.worker().startedAtMillis())
                 .with("millis", millis)
                 .write();
         return true;
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/RunSurvey.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/RunSurvey.java
@@ -51,6 +51,10 @@
                     .entry("survey")
                     .with("server", engine.id())
                     .with("serverVersion", engine.softwareVersion())
+                    .with("startedAt", engine.startedAtMillis())
+                    .with(
+                            "statedStart",
+                            report.map(r -> r.startedAtMillis().orElse(0)).orElse(0L))
                     .with("streams", report.map(r -> r.streams().size()).orElse(0))
                     .with("failure", failure == null ? "none" : failure.getMessage())
                     .write();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/EngineReport.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/EngineReport.java
@@ -1,6 +1,7 @@
 package org.guavathread.gateway.protocol;
 
 import java.util.List;
+import java.util.OptionalLong;
 
 import org.guavathread.core.registry.EngineStage;
 
@@ -11,8 +12,11 @@
  * @param isBusy whether the engine is executing an order
  * @param ordersTaken number of orders that the engine has accepted since its start
  * @param streams attempt ids of the running requests of which it has made events
+ * @param startedAtMillis start time of the process that reports, in milliseconds since the epoch by its own clock; empty if
+ *     it does not state one
  */
-public record EngineReport(EngineStage stage, boolean isBusy, long ordersTaken, List<String> streams) {
+public record EngineReport(
+        EngineStage stage, boolean isBusy, long ordersTaken, List<String> streams, OptionalLong startedAtMillis) {
 
     /** Copies the list. */
     public EngineReport {
