Confirm which process of a server writes a stream

Callers got streams whose first events are of one software version and whose later ones are of another, in one answer or over their tries.

Cause: a host takes the version of a server from the store's last entry, but a server that starts again answers under the same id and address, and neither its answers nor X-Target-Instance tell the processes apart. Behind a cut of the store, or before the new entry stands, the version is that of the former process; a host goes on there, and tells the wrong origin to other hosts. The class: what is known of one process is believed of a server.

A process now has an identity, its id and start time (ServerProcess). Servers state the start in their reports. What was known before a request was sent and is confirmed after it was answered holds for the process that answered, so a host asks - after the first event of a stream that may be taken up again; only then is the origin told to other hosts; - before a stream goes on at an engine, and once more when the head of the continuation has arrived; its events are held back until then. A server that states another start than its entry keeps the id, but its version is unknown (and equal only to itself) until its own entry is read; streams that began there are found under that value, and can go on once the version is known. A server whose report has no start is confirmed by the store's present word alone; without it, nothing goes on there. New streams are sent as before.

Ruled out: confirming with the store alone (a server may serve before its entry stands; and a cut without a restart has to go on serving); start times compared with the host's clock (clocks jump); a new field in the notice of an origin (builds of the history refuse it).

--- a/guavathread-core/src/main/java/org/guavathread/core/registry/Worker.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/registry/Worker.java
@@ -29,6 +29,35 @@
         SoftwareVersion softwareVersion,
         long startedAtMillis) {
 
+    /**
+     * Returns the process that wrote this entry.
+     *
+     * @return the process
+     */
+    public ServerProcess process() {
+        return new ServerProcess(id, startedAtMillis);
+    }
+
+    /**
+     * Returns what is known of a process that answers in place of the one that wrote this entry.
+     *
+     * @param nextStartedAtMillis start time of the answering process
+     * @param nextStage its stage
+     * @return an entry whose software version is not known
+     */
+    public Worker replacedBy(long nextStartedAtMillis, EngineStage nextStage) {
+        return new Worker(
+                id,
+                service,
+                address,
+                dataCentre,
+                slots,
+                draining,
+                nextStage,
+                SoftwareVersion.unknownOf(new ServerProcess(id, nextStartedAtMillis)),
+                nextStartedAtMillis);
+    }
+
     /**
      * Returns a copy of this entry of which the shutdown is announced.
      *
--- a/guavathread-core/src/main/java/org/guavathread/core/registry/WorkerRegistry.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/registry/WorkerRegistry.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.routing.ServiceName;
@@ -25,20 +26,55 @@
     private final Map<BackendServerId, Worker> registered = new HashMap<>();
     private final Map<BackendServerId, Worker> lapsed = new HashMap<>();
     private final VersionHistory versions = new VersionHistory();
+    private final ServerProcesses processes = new ServerProcesses();
     private long outageEndedAtMillis = -GRACE_PERIOD_MILLIS;
     private boolean outage;
 
     /**
-     * Adds a server, or replaces its entry.
+     * Adds a server, or replaces its entry. An entry of a process after which another one has answered describes the
+     * server, but not its software version.
      *
-     * @param worker the server
+     * @param entry the server's entry
      * @param nowMillis the current time
      */
-    public void put(Worker worker, long nowMillis) {
+    public void put(Worker entry, long nowMillis) {
+        Worker worker = processes.entryRead(entry, nowMillis);
         recordDeparture(registered.put(worker.id(), worker), nowMillis);
         recordDeparture(lapsed.remove(worker.id()), nowMillis);
     }
 
+    /**
+     * Records that a server has stated the start time of its process in an answer.
+     *
+     * @param stated the process that answered
+     * @param stage its stage, as it states it
+     * @param askedAtMillis when it was asked
+     * @param nowMillis the current time
+     * @return true if it is another process than the one that was known
+     */
+    public boolean stated(ServerProcess stated, EngineStage stage, long askedAtMillis, long nowMillis) {
+        for (Map<BackendServerId, Worker> each : List.of(registered, lapsed)) {
+            Worker known = each.get(stated.server());
+            Optional<Worker> next = Optional.ofNullable(known)
+                    .flatMap(w -> processes.stated(w, stated.startedAtMillis(), stage, askedAtMillis));
+            if (next.isPresent()) {
+                recordDeparture(each.put(known.id(), next.get()), nowMillis);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Returns the software version of a process whose version was not known when a value was recorded for it.
+     *
+     * @param version a version, or a value that stands for the version of a process
+     * @return the version of the process if it has registered since, otherwise the given value
+     */
+    public SoftwareVersion resolve(SoftwareVersion version) {
+        return processes.resolve(version);
+    }
+
     private void recordDeparture(Worker previous, long nowMillis) {
         if (previous != null) {
             versions.departed(previous, nowMillis);
@@ -136,6 +172,7 @@
             lapsed.clear();
         }
         versions.expire(nowMillis);
+        processes.expire(ids(), nowMillis);
     }
 
     /**
@@ -180,7 +217,7 @@
         for (Collection<Worker> each : List.of(registered.values(), lapsed.values())) {
             each.stream().filter(w -> w.service().equals(service)).forEach(w -> seen.add(w.softwareVersion()));
         }
-        return Optional.of(seen);
+        return Optional.of(seen.stream().map(processes::resolve).collect(Collectors.toSet()));
     }
 
     /**
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -59,6 +59,7 @@
 import org.guavathread.gateway.fleet.RunSurvey;
 import org.guavathread.gateway.fleet.StateRelay;
 import org.guavathread.gateway.fleet.StateSynchroniser;
+import org.guavathread.gateway.fleet.StoreConfirmation;
 import org.guavathread.gateway.log.DecisionLog;
 import org.guavathread.gateway.log.GatewayMetrics;
 import org.guavathread.gateway.loop.EventLoop;
@@ -171,14 +172,15 @@
                 settings.listenPeers());
         this.reporter = new GossipReporter(identity, context, fleet, socket[0]);
         StoreClient store = platform.storeClient(context.client(), settings);
-        this.origins = new OriginDirectory(
-                context, fleet, socket[0], store, settings.storeHistoryMillis(), this::stateConfirmed);
+        StoreConfirmation storeWord = new StoreConfirmation(context, store, this::stateConfirmed);
+        this.origins = new OriginDirectory(context, fleet, socket[0], store, settings.storeHistoryMillis(), storeWord);
         this.router = new RequestRouter(
                 context,
                 reporter,
                 new PermitClient(settings.hostId(), context, fleet),
                 origins,
-                new RelayHosts(context, fleet));
+                new RelayHosts(context, fleet),
+                storeWord);
         this.relay = new ServerRelay(context);
         this.reach = new ReachMonitor(context);
         this.stateSynchroniser = new StateSynchroniser(
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineSelection.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineSelection.java
@@ -35,7 +35,8 @@
 
     /** Returns the engines that can serve the request. */
     List<Worker> compatible(List<Worker> engines) {
-        return version.map(v -> ofVersion(engines, v)).orElse(engines);
+        return version.map(v -> ofVersion(engines, context.state().registry().resolve(v)))
+                .orElse(engines);
     }
 
     /** Plans the request at the version that has read its prompt, if an engine there has room, otherwise at any one. */
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
@@ -113,8 +113,22 @@
                 Consumer<Optional<SoftwareVersion>> onResult);
     }
 
+    /** The present state of the store, as opposed to what this host has heard of it. */
+    @FunctionalInterface
+    public interface StoreWord {
+
+        /**
+         * Applies the changes that this host has not heard of.
+         *
+         * @param onDone receives on the event loop's thread whether this host has applied everything that the store had
+         *     acknowledged before this call
+         */
+        void confirm(Consumer<Boolean> onDone);
+    }
+
     private final GatewayContext context;
     private final BackendClient backendClient;
+    private final ProcessCheck processCheck;
     private final FleetLoad load;
     private final Permits permits;
     private final Origins origins;
@@ -130,13 +144,21 @@
      * @param permits grants requests to servers that state a limit
      * @param origins knows the software versions at which streams began
      * @param relays the hosts that send requests to servers out of this host's reach
+     * @param storeWord asks the store for its present state
      */
-    public RequestRouter(GatewayContext context, FleetLoad load, Permits permits, Origins origins, Relays relays) {
+    public RequestRouter(
+            GatewayContext context,
+            FleetLoad load,
+            Permits permits,
+            Origins origins,
+            Relays relays,
+            StoreWord storeWord) {
         this.context = context;
         this.load = load;
         this.permits = permits;
         this.origins = origins;
         this.backendClient = new BackendClient(context, relays);
+        this.processCheck = new ProcessCheck(context, backendClient, storeWord);
     }
 
     /**
@@ -336,6 +358,7 @@
                         capacityQueueOf(admitted),
                         () -> drainRefusal(context.loop().nowMillis()),
                         origins,
+                        processCheck,
                         onEnd)
                 : new PlainCall(context, admitted, permits, backendClient, returnQueueOf(admitted.service()), onEnd);
         calls.add(call[0]);
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerNotices.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerNotices.java
@@ -6,11 +6,13 @@
 import org.guavathread.core.dispatch.ServerPauses;
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.publish.PublishedState;
+import org.guavathread.core.registry.ServerProcess;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.gateway.log.DecisionLog;
 import org.guavathread.gateway.log.GatewayMetrics;
 import org.guavathread.gateway.loop.EventLoop;
 import org.guavathread.gateway.protocol.BackendProtocol;
+import org.guavathread.gateway.protocol.EngineReport;
 import org.guavathread.gateway.protocol.ServerNotice;
 import org.guavathread.router.http.HttpHead;
 import org.guavathread.router.http.HttpRequest;
@@ -105,6 +107,28 @@
         }
     }
 
+    /**
+     * Reads which process of a server has written a report.
+     *
+     * @param server the server that was asked
+     * @param askedAtMillis when it was asked
+     * @param report its report
+     */
+    public void reported(Worker server, long askedAtMillis, EngineReport report) {
+        report.startedAtMillis().ifPresent(startedAtMillis -> {
+            ServerProcess stated = new ServerProcess(server.id(), startedAtMillis);
+            if (state.registry().stated(stated, report.stage(), askedAtMillis, loop.nowMillis())) {
+                metrics.serverNotice("restart");
+                log.entry("notice")
+                        .with("server", server.id())
+                        .with("startedAt", startedAtMillis)
+                        .with("outcome", "started again")
+                        .with("known", server.startedAtMillis())
+                        .write();
+            }
+        });
+    }
+
     private DecisionLog.Entry entry(Worker server, HttpRequest request, HttpHead head, String outcome) {
         String line = request.toString();
         return log.entry("notice")
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -62,7 +62,8 @@
     private final EngineResources resources;
     private final EngineSelection selection;
     private final Supplier<Refusal> drainRefusal;
-    private final RequestRouter.Origins origins;
+    private final StreamOrigin origin;
+    private final ProcessCheck processCheck;
     private final StallWatch stallWatch;
     private CallerExchange.StreamBody out;
     private Optional<String> contentType = Optional.empty();
@@ -82,17 +83,19 @@
             CapacityQueue capacityQueue,
             Supplier<Refusal> drainRefusal,
             RequestRouter.Origins origins,
+            ProcessCheck processCheck,
             Runnable onEnd) {
         super(context, admitted, permits, onEnd);
         this.drainRefusal = drainRefusal;
-        this.origins = origins;
+        this.origin = new StreamOrigin(context, admitted, origins, processCheck);
+        this.processCheck = processCheck;
         this.stallWatch = new StallWatch(
                 context.loop(),
                 new StreamProgress(
                         admitted.rule().targetMillis(),
                         admitted.rule().maxPauseMillis(),
                         admitted.rule().mayRunAgain()),
-                () -> mayRunOnceMore() && !untried().isEmpty());
+                () -> mayRunOnceMore() && origin.isSettled() && !untried().isEmpty());
         this.capacityQueue = capacityQueue;
         this.backendClient = backendClient;
         this.engineTerms = engineTerms;
@@ -109,21 +112,17 @@
             queueOrPlace();
             return;
         }
-        origins.find(
-                request().resumedAttemptId(),
-                admitted.service(),
-                admitted.rule().timeoutMillis(),
-                found -> {
-                    if (!isEnded()) {
-                        resume(found);
-                    }
-                });
+        origin.find(found -> {
+            if (!isEnded()) {
+                resume(found);
+            }
+        });
     }
 
     /** Continues a stream that a caller takes up again. */
-    private void resume(Optional<SoftwareVersion> origin) {
-        origin.ifPresent(selection::restrictTo);
-        if (origin.isEmpty()) {
+    private void resume(Optional<SoftwareVersion> began) {
+        began.ifPresent(selection::restrictTo);
+        if (began.isEmpty()) {
             refuse(Refusal.notRun(
                     RefusalCode.ORIGIN_UNKNOWN,
                     "It is not known at which software version the stream began; send the request without "
@@ -131,7 +130,7 @@
         } else if (servers().isEmpty()) {
             refuse(Refusal.notRun(
                     RefusalCode.VERSION_GONE,
-                    "The stream began at software version " + origin.get() + ", of which no server is left."));
+                    "The stream began at software version " + began.get() + ", of which no server is left."));
         } else {
             queueOrPlace();
         }
@@ -191,6 +190,10 @@
         if (out == null && refusedAsCrashSuspect()) {
             return;
         }
+        if (!origin.isSettled()) {
+            origin.whenSettled(this::placeOnceSettled);
+            return;
+        }
         if (!backendClient.isReachable(admitted.service())) {
             giveUp("No host reaches an engine of service " + admitted.service() + ".");
             return;
@@ -207,7 +210,9 @@
                 excluded,
                 isUnopened ? work : work.resumed(),
                 isUnopened ? resources.prefilledVersion() : Optional.empty());
-        if (plan.isPresent()) {
+        if (plan.isPresent() && isContinuation()) {
+            reserveIfSameProcess(plan.get());
+        } else if (plan.isPresent()) {
             reserve(plan.get());
         } else if (untried().isEmpty()) {
             giveUp("No engine of service " + admitted.service() + " is left to try.");
@@ -218,6 +223,39 @@
         }
     }
 
+    private void placeOnceSettled(Optional<SoftwareVersion> began) {
+        if (isEnded()) {
+            return;
+        }
+        if (began.isPresent()) {
+            selection.restrictTo(began.get());
+            place();
+        } else {
+            giveUp("It is not known at which software version the stream began.");
+        }
+    }
+
+    /** Continues the stream at an engine that still is the process whose version is known; otherwise at another one. */
+    private void reserveIfSameProcess(EnginePlan plan) {
+        Worker engine = plan.decode();
+        processCheck.ask(engine, outcome -> {
+            if (isEnded()) {
+                return;
+            }
+            if (outcome == ProcessCheck.Outcome.SAME) {
+                reserve(plan);
+            } else {
+                fullEngines.add(engine.id());
+                log("result")
+                        .with("server", engine.id())
+                        .with("step", "process")
+                        .with("failure", outcome)
+                        .write();
+                place();
+            }
+        });
+    }
+
     private boolean canEndBeforeThisHost() {
         long expectedMillis =
                 context.answerPace().expectedRequestMillis(admitted.rule().targetMillis(), work.maxOutputTokens());
@@ -471,7 +509,20 @@
                 worker,
                 context.backendProtocol()
                         .run(request(), sendOptions(worker, admitted.deadlineMillis(), usable, reserved, lastEventId)),
-                run));
+                lastEventId.isPresent() ? heldUntilConfirmed(run) : run));
+    }
+
+    /** Receives a continuation, which must not reach the caller if another process than the known one has written it. */
+    private BackendClient.Receiver heldUntilConfirmed(EngineRun run) {
+        return new HeldAnswer(
+                run,
+                onDone ->
+                        processCheck.ask(run.worker(), outcome -> onDone.accept(outcome == ProcessCheck.Outcome.SAME)),
+                reason -> {
+                    if (!isEnded() && !run.isFinished()) {
+                        run.failed("the answer is dropped: " + reason, false);
+                    }
+                });
     }
 
     @Override
@@ -566,12 +617,7 @@
         contentType = head.header(CONTENT_TYPE);
         firstEventAtMillis = now();
         selection.restrictTo(run.worker().softwareVersion());
-        if (admitted.rule().mayRunAgain() && request().lastEventId().isEmpty()) {
-            origins.began(
-                    request().attemptId(),
-                    run.worker().softwareVersion(),
-                    request().deadlineMillis());
-        }
+        origin.began(run.worker(), selection::restrictTo);
         long millis = firstEventAtMillis - exchange().arrivedAtMillis();
         context.metrics().firstByte(admitted.rule().kind(), millis);
         log("first")
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/OriginDirectory.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/OriginDirectory.java
@@ -10,7 +10,6 @@
 import org.guavathread.core.gossip.HostPhase;
 import org.guavathread.core.gossip.HostReport;
 import org.guavathread.core.hash.RendezvousHash;
-import org.guavathread.core.publish.StateChange;
 import org.guavathread.core.registry.SoftwareVersion;
 import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.stream.StreamOriginNotice;
@@ -45,7 +44,7 @@
     private final FleetView fleet;
     private final GossipSocket socket;
     private final StoreHistoryReader history;
-    private final StoreConfirmation confirmation;
+    private final RequestRouter.StoreWord storeWord;
     private final StreamOrigins origins = new StreamOrigins();
     private final OriginRelay relay = new OriginRelay();
 
@@ -57,7 +56,7 @@
      * @param socket sends notices
      * @param store the store, whose history is read when no host knows a stream
      * @param historyMillis for how long the store remembers changes, in milliseconds; 0 if that is not known
-     * @param onChanges receives changes of the published state that are found on the way
+     * @param storeWord asks the store for its present state
      */
     public OriginDirectory(
             GatewayContext context,
@@ -65,8 +64,8 @@
             GossipSocket socket,
             StoreClient store,
             long historyMillis,
-            Consumer<List<StateChange>> onChanges) {
-        this.confirmation = new StoreConfirmation(context, store, onChanges);
+            RequestRouter.StoreWord storeWord) {
+        this.storeWord = storeWord;
         this.context = context;
         this.fleet = fleet;
         this.socket = socket;
@@ -215,13 +214,15 @@
         }
 
         /** Ends with a version; if this host knows no server of it, one may have joined unnoticed. */
-        private void found(String how, SoftwareVersion version) {
+        private void found(String how, SoftwareVersion recorded) {
+            SoftwareVersion version = context.state().registry().resolve(recorded);
             boolean isInService = context.state().registry().usable(service).stream()
                     .anyMatch(w -> w.softwareVersion().equals(version));
             if (ended || isInService) {
                 end(how, Optional.of(version));
             } else {
-                confirmation.confirm(isCurrent -> end(how, Optional.of(version)));
+                storeWord.confirm(isCurrent ->
+                        end(how, Optional.of(context.state().registry().resolve(recorded))));
             }
         }
 
@@ -234,7 +235,7 @@
                 readHistory();
                 return;
             }
-            confirmation.confirm(isCurrent -> {
+            storeWord.confirm(isCurrent -> {
                 Optional<SoftwareVersion> only = onlyVersion();
                 if (isCurrent && only.isPresent()) {
                     end("only version", only);
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StoreConfirmation.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StoreConfirmation.java
@@ -7,6 +7,7 @@
 import org.guavathread.core.publish.StateChange;
 import org.guavathread.core.publish.StorePosition;
 import org.guavathread.gateway.call.GatewayContext;
+import org.guavathread.gateway.call.RequestRouter;
 import org.guavathread.gateway.protocol.StoreClient;
 
 /**
@@ -15,7 +16,7 @@
  * Requests that arrive during a call wait for the next one, which sees all that happened before them. Runs on the event
  * loop's thread.
  */
-final class StoreConfirmation {
+public final class StoreConfirmation implements RequestRouter.StoreWord {
 
     private static final long SHORTEST_WAIT_MILLIS = 1;
 
@@ -35,18 +36,14 @@
      * @param store the store
      * @param onChanges receives what changed
      */
-    StoreConfirmation(GatewayContext context, StoreClient store, Consumer<List<StateChange>> onChanges) {
+    public StoreConfirmation(GatewayContext context, StoreClient store, Consumer<List<StateChange>> onChanges) {
         this.context = context;
         this.store = store;
         this.onChanges = onChanges;
     }
 
-    /**
-     * Asks the store for changes.
-     *
-     * @param onDone receives whether this host has applied everything that the store had acknowledged before this call
-     */
-    void confirm(Consumer<Boolean> onDone) {
+    @Override
+    public void confirm(Consumer<Boolean> onDone) {
         waiting.add(onDone);
         if (!calling) {
             call();
