--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/HeldAnswer.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/HeldAnswer.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Consumer;
 
 import org.guavathread.router.http.HttpExchangeException;
 import org.guavathread.router.http.HttpHead;
@@ -13,53 +12,47 @@
     /** Maximum size of what is held back: some events, since a check takes some hundred milliseconds at most. */
     private static final int MAX_HELD_BYTES = 256 * 1024;
 
-    private final BackendClient.Receiver receiver;
-    private final Consumer<Consumer<Boolean>> check;
-    private final Consumer<String> onRefused;
-    private final List<Runnable> held = new ArrayList<>();
-    private int heldBytes;
-    private boolean isChecking;
-    private boolean isReleased;
-    private boolean isDropped;
-
-    /**
-     * Creates a receiver.
-     *
-     * @param receiver receives the answer once the process is known to be the expected one
-     * @param check finds out whether it is; called when the head of a success has arrived
-     * @param onRefused receives the reason if the answer is dropped
-     */
-    HeldAnswer(BackendClient.Receiver receiver, Consumer<Consumer<Boolean>> check, Consumer<String> onRefused) {
-        this.receiver = receiver;
-        this.check = check;
-        this.onRefused = onRefused;
+    private enum State {
+        /** Nothing has arrived. */
+        AWAITS_HEAD,
+        /** The process is being asked for. */
+        HELD,
+        /** Everything is passed on. */
+        RELEASED,
+        /** Another process answers, or none could be asked. */
+        DROPPED
     }
 
-    private void pass(Runnable part) {
-        if (isReleased) {
-            part.run();
-        } else if (!isDropped) {
-            held.add(part);
-        }
+    private final StreamCall call;
+    private final EngineRun run;
+    private final ProcessCheck processCheck;
+    private final List<Runnable> held = new ArrayList<>();
+    private long heldBytes;
+    private State state = State.AWAITS_HEAD;
+
+    HeldAnswer(StreamCall call, EngineRun run, ProcessCheck processCheck) {
+        this.call = call;
+        this.run = run;
+        this.processCheck = processCheck;
     }
 
     @Override
     public void onHead(HttpHead head) {
-        isReleased = !head.isSuccess();
-        pass(() -> receiver.onHead(head));
-        if (!isReleased) {
-            isChecking = true;
-            check.accept(this::checked);
+        if (head.isSuccess()) {
+            state = State.HELD;
+            processCheck.ask(run.worker(), this::asked);
+        } else {
+            state = State.RELEASED;
         }
+        pass(() -> run.onHead(head));
     }
 
-    private void checked(boolean isExpected) {
-        isChecking = false;
-        if (isDropped) {
+    private void asked(ProcessCheck.Outcome outcome) {
+        if (state != State.HELD) {
             return;
         }
-        if (isExpected) {
-            isReleased = true;
+        if (outcome == ProcessCheck.Outcome.SAME) {
+            state = State.RELEASED;
             held.forEach(Runnable::run);
             held.clear();
         } else {
@@ -68,28 +61,37 @@
     }
 
     private void drop(String reason) {
-        isDropped = true;
+        state = State.DROPPED;
         held.clear();
-        onRefused.accept(reason);
+        if (!call.isEnded() && !run.isFinished()) {
+            run.failed("the continuation is dropped: " + reason, false);
+        }
+    }
+
+    private void pass(Runnable part) {
+        if (state == State.HELD) {
+            held.add(part);
+        } else if (state != State.DROPPED) {
+            part.run();
+        }
     }
 
     @Override
     public void onBytes(byte[] bytes) {
-        pass(() -> receiver.onBytes(bytes));
-        heldBytes += isReleased ? 0 : bytes.length;
-        if (heldBytes > MAX_HELD_BYTES && !isReleased && !isDropped) {
+        pass(() -> run.onBytes(bytes));
+        heldBytes += bytes.length;
+        if (state == State.HELD && heldBytes > MAX_HELD_BYTES) {
             drop("more than " + MAX_HELD_BYTES + " bytes arrived before that was known");
         }
     }
 
     @Override
     public void onDone() {
-        pass(receiver::onDone);
+        pass(run::onDone);
     }
 
     @Override
     public void onFailure(HttpExchangeException failure) {
-        isReleased |= !isChecking && !isDropped;
-        pass(() -> receiver.onFailure(failure));
+        pass(() -> run.onFailure(failure));
     }
 }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -17,12 +17,10 @@
 import org.guavathread.core.routing.ServiceTerms.EngineTerms;
 import org.guavathread.core.routing.WorkspaceTerms;
 import org.guavathread.core.stream.StreamProgress;
-import org.guavathread.gateway.protocol.AnswerMeaning;
 import org.guavathread.gateway.protocol.EngineReservation;
 import org.guavathread.gateway.protocol.PrefillResult;
 import org.guavathread.router.caller.CallerExchange;
 import org.guavathread.router.http.HttpHead;
-import org.guavathread.router.http.HttpResponse;
 
 /**
  * A language request whose answer is a stream of events. Memory is reserved on a generating engine, the prefill runs on a
@@ -31,11 +29,6 @@
  */
 final class StreamCall extends Call {
 
-    /** Prefill timeout as a multiple of the expected time, plus a fixed slack for a busy engine. */
-    private static final double PREFILL_TIMEOUT_FACTOR = 2;
-
-    private static final long PREFILL_SLACK_MILLIS = 500;
-
     /** Timeout of a reservation call. The call is small, so an engine that takes longer is considered unhealthy. */
     private static final long RESERVE_TIMEOUT_MILLIS = 400;
 
@@ -246,11 +239,6 @@
                 reserve(plan);
             } else {
                 fullEngines.add(engine.id());
-                log("result")
-                        .with("server", engine.id())
-                        .with("step", "process")
-                        .with("failure", outcome)
-                        .write();
                 place();
             }
         });
@@ -384,7 +372,7 @@
     private void permitted(EnginePlan plan, boolean separatePrefill) {
         if (separatePrefill) {
             Worker prefill = plan.prefill().get();
-            withPermit(prefill, () -> prefill(prefill, plan), () -> {
+            withPermit(prefill, () -> read(prefill, plan), () -> {
                 resources.removePrefillLoad();
                 generate(plan.decode(), plan.expectedMillis());
             });
@@ -393,6 +381,11 @@
         }
     }
 
+    private void read(Worker prefill, EnginePlan plan) {
+        prefillTried = true;
+        new PrefillRun(this, resources, backendClient, prefill, plan).begin();
+    }
+
     /** Plans the request anew, since the limit of the generating engine is used up. */
     private void placeElsewhere() {
         resources.releaseReservation();
@@ -400,71 +393,6 @@
         place();
     }
 
-    private void prefill(Worker prefill, EnginePlan plan) {
-        prefillTried = true;
-        long untilMillis = Math.min(
-                admitted.deadlineMillis(),
-                now() + PREFILL_SLACK_MILLIS + (long) (PREFILL_TIMEOUT_FACTOR * plan.expectedMillis()));
-        setBackendCall(backendClient.send(
-                prefill,
-                context.backendProtocol()
-                        .prefill(
-                                request(),
-                                sendOptions(
-                                        prefill, untilMillis, Optional.empty(), Optional.empty(), Optional.empty())),
-                answer -> prefillAnswered(prefill, plan, answer),
-                failure -> prefillFailed(prefill, plan, false, failure)));
-    }
-
-    private void prefillAnswered(Worker prefill, EnginePlan plan, HttpResponse answer) {
-        Optional<PrefillResult> prompt = context.backendProtocol().prefillResultOf(request(), prefill, answer, now());
-        prompt.ifPresent(resources::keep);
-        AnswerMeaning meaning = prompt.isPresent()
-                ? AnswerMeaning.RAN
-                : context.backendProtocol().meaningOf(request(), answer.head());
-        recordLimit(prefill, answer.head(), meaning);
-        if (isEnded()) {
-            resources.releaseUnused();
-            return;
-        }
-        if (prompt.isEmpty()) {
-            prefillFailed(prefill, plan, meaning.isNotRun(), new IllegalStateException("status " + answer.status()));
-            return;
-        }
-        clearBackendCall();
-        resources.removePrefillLoad();
-        context.metrics().sent("read", "RAN");
-        context.health().succeeded(prefill.id(), now());
-        generate(plan.decode(), plan.expectedMillis());
-    }
-
-    /** Falls back to the generating engine, which runs the prefill itself in the memory that it has reserved. */
-    private void prefillFailed(Worker prefill, EnginePlan plan, boolean rejected, Throwable failure) {
-        if (isEnded()) {
-            return;
-        }
-        clearBackendCall();
-        resources.removePrefillLoad();
-        context.metrics().sent("read", rejected ? "NOT_RUN" : "BROKEN");
-        log("result")
-                .with("server", prefill.id())
-                .with("step", "read")
-                .with("rejected", rejected)
-                .with("failure", failure.getMessage())
-                .write();
-        if (BackendClient.isConnectionLost(failure)) {
-            recordCrash(prefill);
-        }
-        if (!isPaused(prefill)) {
-            recordLost(prefill, failure);
-        }
-        if (rejected && !takeRetry()) {
-            refuseFull("The prompt could not be read, and the retry budget is used up.");
-            return;
-        }
-        generate(plan.decode(), plan.expectedMillis());
-    }
-
     /** Tells whether a server still takes requests; reservation and prefill may have taken seconds. */
     private boolean isUsable(Worker worker) {
         return serversWithoutPause().stream().anyMatch(w -> w.id().equals(worker.id()));
@@ -480,7 +408,7 @@
         place();
     }
 
-    private void generate(Worker worker, double expectedMillis) {
+    void generate(Worker worker, double expectedMillis) {
         if (!isUsable(worker)) {
             placeAgain(worker);
             return;
@@ -509,20 +437,7 @@
                 worker,
                 context.backendProtocol()
                         .run(request(), sendOptions(worker, admitted.deadlineMillis(), usable, reserved, lastEventId)),
-                lastEventId.isPresent() ? heldUntilConfirmed(run) : run));
-    }
-
-    /** Receives a continuation, which must not reach the caller if another process than the known one has written it. */
-    private BackendClient.Receiver heldUntilConfirmed(EngineRun run) {
-        return new HeldAnswer(
-                run,
-                onDone ->
-                        processCheck.ask(run.worker(), outcome -> onDone.accept(outcome == ProcessCheck.Outcome.SAME)),
-                reason -> {
-                    if (!isEnded() && !run.isFinished()) {
-                        run.failed("the answer is dropped: " + reason, false);
-                    }
-                });
+                lastEventId.isPresent() ? new HeldAnswer(this, run, processCheck) : run));
     }
 
     @Override
