Keep the stream of a silent server until another one is known to fit

Their server was silent for 1.8 s; the host gave its run up, and only then learned that the other server was not known to be of the same version.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import org.guavathread.core.dispatch.EnginePlan;
@@ -88,7 +89,7 @@
                         admitted.rule().targetMillis(),
                         admitted.rule().maxPauseMillis(),
                         admitted.rule().mayRunAgain()),
-                () -> mayRunOnceMore() && origin.isSettled() && !untried().isEmpty());
+                this::findEngineToResume);
         this.capacityQueue = capacityQueue;
         this.backendClient = backendClient;
         this.engineTerms = engineTerms;
@@ -195,14 +196,7 @@
             refuse(drainRefusal.get());
             return;
         }
-        Set<BackendServerId> excluded = new HashSet<>(tried);
-        excluded.addAll(fullEngines);
-        boolean isUnopened = out == null;
-        Optional<EnginePlan> plan = selection.plan(
-                serversWithRoom(),
-                excluded,
-                isUnopened ? work : work.resumed(),
-                isUnopened ? resources.prefilledVersion() : Optional.empty());
+        Optional<EnginePlan> plan = plan();
         if (plan.isPresent() && isContinuation()) {
             reserveIfSameProcess(plan.get());
         } else if (plan.isPresent()) {
@@ -216,6 +210,36 @@
         }
     }
 
+    private Optional<EnginePlan> plan() {
+        Set<BackendServerId> excluded = new HashSet<>(tried);
+        excluded.addAll(fullEngines);
+        boolean isUnopened = out == null;
+        return selection.plan(
+                serversWithRoom(),
+                excluded,
+                isUnopened ? work : work.resumed(),
+                isUnopened ? resources.prefilledVersion() : Optional.empty());
+    }
+
+    /** Finds out whether a stream whose events stay away can go on at another engine; until then it keeps its own. */
+    private void findEngineToResume(Consumer<Boolean> onDone) {
+        if (!mayRunOnceMore() || !origin.isSettled() || untried().isEmpty()) {
+            onDone.accept(false);
+            return;
+        }
+        if (!isContinuation()) {
+            onDone.accept(true);
+            return;
+        }
+        Worker engine = plan().map(EnginePlan::decode).orElse(untried().get(0));
+        processCheck.ask(engine, outcome -> {
+            if (outcome != ProcessCheck.Outcome.SAME) {
+                fullEngines.add(engine.id());
+            }
+            onDone.accept(outcome == ProcessCheck.Outcome.SAME);
+        });
+    }
+
     private void placeOnceSettled(Optional<SoftwareVersion> began) {
         if (isEnded()) {
             return;
