Ask no server which process it is while it is in a pause

A server that turns a request away with a pause wants nothing from this host for so long (BUDGET). The questions about its process, repeated up to five times if there is no answer, went on: 16 in the pauses of four servers in serverInAPauseIsNotAskedWhichProcessItIs before, 0 now. In a pause the store's present word decides.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ProcessCheck.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ProcessCheck.java
@@ -67,6 +67,10 @@
 
     private void send(Worker expected, List<Consumer<Outcome>> asking) {
         long askedAtMillis = context.loop().nowMillis();
+        if (context.pauses().isPaused(expected, askedAtMillis)) {
+            askStore(expected, outcome -> done(expected, outcome, asking));
+            return;
+        }
         backendClient.send(
                 expected,
                 context.backendProtocol().report(expected, askedAtMillis + TIMEOUT_MILLIS),
@@ -102,7 +106,7 @@
         }
     }
 
-    /** Concludes from the store's present word, which is all that there is about an engine that states no start. */
+    /** Concludes from the store's present word, if the engine states no start or wants no requests. */
     private void askStore(Worker expected, Consumer<Outcome> onDone) {
         storeWord.confirm(isCurrent -> {
             boolean isListed = context.state()
