Know a run in a report by the process that wrote it

A host that starts asks engines which attempts they run, and took the version of the engine's entry for each of them. An engine that has started again behind a cut of the store names the runs of its new process, so that their streams went on at the version of the former one.

A run now belongs to the start that the report states. If that is not the one of the entry, its version is the value that stands for the process, until the process has registered; the registry is told, as by other reports. Without a stated start, the store's present word decides.

Ruled out: dropping such runs, since the process itself can go on with them, and other servers of its version once that is known.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -129,6 +129,7 @@
     private final EntryAnswers entry;
     private final GossipReporter reporter;
     private final OriginDirectory origins;
+    private final StoreConfirmation storeWord;
     private final RequestRouter router;
     private final ServerRelay relay;
     private final ReachMonitor reach;
@@ -172,7 +173,7 @@
                 settings.listenPeers());
         this.reporter = new GossipReporter(identity, context, fleet, socket[0]);
         StoreClient store = platform.storeClient(context.client(), settings);
-        StoreConfirmation storeWord = new StoreConfirmation(context, store, this::stateConfirmed);
+        this.storeWord = new StoreConfirmation(context, store, this::stateConfirmed);
         this.origins = new OriginDirectory(context, fleet, socket[0], store, settings.storeHistoryMillis(), storeWord);
         this.router = new RequestRouter(
                 context,
@@ -391,7 +392,7 @@
         if (reporter.phase() == HostPhase.STARTING && context.state().table().isPresent()) {
             reporter.phase(HostPhase.READY);
             if (!settings.isFirstStart()) {
-                new RunSurvey(context, origins, reporter::decidesFor).start();
+                new RunSurvey(context, origins, storeWord, reporter::decidesFor).start();
             }
         }
         if (settings.prefillShare() >= 0) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/OriginDirectory.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/OriginDirectory.java
@@ -81,10 +81,11 @@
      * Records that a server runs a stream.
      *
      * @param attemptId id of the caller attempt
-     * @param version version of the server
+     * @param version version of the server, or the value that stands for it
      */
     void isRunning(String attemptId, SoftwareVersion version) {
-        publish(attemptId, version, StreamOrigins.Source.RUNNING, MAX_LIFETIME_MILLIS);
+        SoftwareVersion resolved = context.state().registry().resolve(version);
+        publish(attemptId, resolved, StreamOrigins.Source.RUNNING, MAX_LIFETIME_MILLIS);
     }
 
     private void publish(String attemptId, SoftwareVersion version, StreamOrigins.Source source, long lifetimeMillis) {
