Ask a server that may have said under an earlier entry that it leaves

A server started again and said in an answer that it leaves (Server-Leaving) before its entry stood at the host. The departure was recorded for the process of the earlier entry, so the server's own entry, which it could no longer change, made it usable again, and the host sent it callers' requests until it answered once more.

Cause: answers do not say which process gives them, and the entry under which a request was sent was taken for the answer's author.

A departure now also covers, until they are asked, processes that had begun when it was heard (start time no later than that, plus the difference that clocks may have). Such a server is withheld and asked for its report; all answers of a leaving server say that it leaves, so an answer that does not puts it in use. Its start time, where stated, must be that of the entry. The same is done where the answer arrives after the new entry. Messages between hosts are unchanged; a departure that is reported again after the question does not repeat it.

Ruled out: to compare start times with the host's clock alone, which would withhold a new process for ten minutes if it began within the difference of the clocks.

--- a/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
@@ -31,6 +31,7 @@
     private final WorkerRegistry registry = new WorkerRegistry();
     private final DepartedServers departed = new DepartedServers();
     private final Map<BackendServerId, StoreItem> withheld = new HashMap<>();
+    private final Map<BackendServerId, Unconfirmed> unconfirmed = new HashMap<>();
     private final Map<String, StoreItem> items = new HashMap<>();
     private RoutingTable table;
     private StoreItem tableItem;
@@ -40,6 +41,9 @@
     /** Until then, the store may list servers that ended after its copy was made, since their entries have not expired. */
     private long outdatedUntilMillis;
 
+    /** A server that is withheld until its process has been asked whether it leaves. */
+    private record Unconfirmed(Worker worker, StoreItem item) {}
+
     /**
      * Creates an empty state.
      *
@@ -123,11 +127,15 @@
                 }
             }
         }
+        return applyAgain(news, nowMillis);
+    }
+
+    private List<StateChange> applyAgain(Set<BackendServerId> servers, long nowMillis) {
         List<StateChange> changes = new ArrayList<>();
-        if (!news.isEmpty()) {
+        if (!servers.isEmpty()) {
             items.values()
                     .forEach(item -> decoder.serverOf(item.key())
-                            .filter(news::contains)
+                            .filter(servers::contains)
                             .ifPresent(id -> applyServer(id, item, nowMillis, changes)));
         }
         return changes;
@@ -136,13 +144,43 @@
     /**
      * Applies what a server stated in an answer: that it leaves.
      *
-     * @param worker the entry of the process that answered
+     * @param worker the entry under which the server was asked; a later process may have answered
      * @param nowMillis the current time
      * @return true if this was not known
      */
     public boolean applyStatedDeparture(Worker worker, long nowMillis) {
         registry.leaving(worker.id(), worker.startedAtMillis());
-        return departed.recordStated(worker, nowMillis);
+        boolean isNews = departed.recordStated(worker, nowMillis);
+        if (isNews) {
+            applyAgain(Set.of(worker.id()), nowMillis);
+        }
+        return isNews;
+    }
+
+    /**
+     * Returns the servers whose processes are to be asked whether they leave.
+     *
+     * @return their entries; until they have answered, they are not usable
+     */
+    public List<Worker> unconfirmed() {
+        return unconfirmed.values().stream().map(Unconfirmed::worker).toList();
+    }
+
+    /**
+     * Records that a server has answered and has not stated that it leaves.
+     *
+     * @param worker the entry under which it was asked
+     * @param nowMillis the current time
+     * @return what changed
+     */
+    public List<StateChange> applyInUse(Worker worker, long nowMillis) {
+        List<StateChange> changes = new ArrayList<>();
+        Unconfirmed asked = unconfirmed.get(worker.id());
+        if (asked != null && asked.worker().equals(worker)) {
+            departed.foundInUse(worker);
+            applyServer(worker.id(), asked.item(), nowMillis, changes);
+        }
+        return changes;
     }
 
     /**
@@ -283,6 +321,7 @@
 
     private void applyServer(BackendServerId id, StoreItem item, long nowMillis, List<StateChange> changes) {
         withheld.remove(id);
+        unconfirmed.remove(id);
         if (item.isDeleted()) {
             registry.find(id).ifPresent(worker -> departed.record(worker, position.epoch(), nowMillis));
             String outcome = registry.remove(id, nowMillis) ? "gone" : "lapsed";
@@ -306,6 +345,12 @@
             changes.add(change("server", id.value(), "listed, but leaving by its own answer", item));
             return;
         }
+        if (!worker.draining() && departed.mayHaveStated(worker)) {
+            unconfirmed.put(id, new Unconfirmed(worker, item));
+            registry.put(worker.leaving(), nowMillis);
+            changes.add(change("server", id.value(), "listed, but maybe leaving by an answer", item));
+            return;
+        }
         if (withheldAsOutdated(worker, previous, item, nowMillis)) {
             changes.add(change("server", id.value(), "withheld, listed by an older copy of the store", item));
             return;
--- a/guavathread-core/src/main/java/org/guavathread/core/registry/DepartedServers.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/registry/DepartedServers.java
@@ -25,6 +25,9 @@
     /** Epoch of a departure that the server itself stated in an answer: before all epochs, so each listing is later. */
     private static final long STATED_IN_ANSWER = -1;
 
+    /** Maximum difference between the clocks of a host and a server, in milliseconds. */
+    private static final long MAX_CLOCK_DIFFERENCE_MILLIS = 2_000;
+
     /** Time for which a departure that a server stated is reported to other hosts: the spreading of news in a large fleet. */
     private static final long NEWS_MILLIS = 10_000;
 
@@ -55,7 +58,14 @@
         }
     }
 
-    private record Remembered(Departure departure, long learnedAtMillis, long expiresAtMillis) {}
+    /** A departure, and the start time of the latest process that was found not to be the one that left. */
+    private record Remembered(
+            Departure departure, long learnedAtMillis, long expiresAtMillis, long inUseStartedAtMillis) {
+
+        private long statedAtMillis() {
+            return expiresAtMillis - RETENTION_MILLIS;
+        }
+    }
 
     private final Map<BackendServerId, Remembered> byServer = new HashMap<>();
 
@@ -97,7 +107,10 @@
         if (known != null && !supersedes(departure, known.departure())) {
             return false;
         }
-        byServer.put(departure.server(), new Remembered(departure, nowMillis, nowMillis + departure.retainedMillis()));
+        byServer.put(
+                departure.server(),
+                new Remembered(
+                        departure, nowMillis, nowMillis + departure.retainedMillis(), departure.startedAtMillis()));
         return true;
     }
 
@@ -114,12 +127,40 @@
     }
 
     /**
-     * Forgets the departure of a server that is in use again.
+     * Forgets the departure of a server that is in use again. What an earlier process stated in an answer is kept, since
+     * other hosts may report it once more.
      *
      * @param server the server
      */
     public void returned(BackendServerId server) {
-        byServer.remove(server);
+        byServer.computeIfPresent(server, (id, r) -> r.departure().isStatedInAnswer() ? r : null);
+    }
+
+    /**
+     * Tells whether the process of an entry may be the one that stated in an answer that it leaves, though the answer was
+     * heard while an earlier entry stood. Answers do not tell which process gave them.
+     *
+     * @param listed the entry
+     * @return true if its process had begun by then and has not been found in use since
+     */
+    public boolean mayHaveStated(Worker listed) {
+        Remembered known = byServer.get(listed.id());
+        return known != null
+                && known.departure().isStatedInAnswer()
+                && known.inUseStartedAtMillis() < listed.startedAtMillis()
+                && listed.startedAtMillis() <= known.statedAtMillis() + MAX_CLOCK_DIFFERENCE_MILLIS;
+    }
+
+    /**
+     * Records that the process of an entry does not leave, so that it was an earlier one that stated it.
+     *
+     * @param listed the entry
+     */
+    public void foundInUse(Worker listed) {
+        byServer.computeIfPresent(
+                listed.id(),
+                (id, r) -> new Remembered(
+                        r.departure(), r.learnedAtMillis(), r.expiresAtMillis(), listed.startedAtMillis()));
     }
 
     /**
--- a/guavathread-core/src/test/java/org/guavathread/core/registry/DepartedServersTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/registry/DepartedServersTest.java
@@ -52,6 +52,28 @@
         assertFalse(departed.hasLeft(worker("i-1", 6, false), EPOCH, true));
     }
 
+    @Test
+    void statedDepartureMayConcernAProcessThatHadBegunWhenItWasHeard() {
+        departed.recordStated(worker("i-1", 5, false), NOW_MILLIS);
+        assertFalse(departed.mayHaveStated(worker("i-1", 5, false)), "this one surely has");
+        assertTrue(departed.mayHaveStated(worker("i-1", 6, false)));
+        assertTrue(departed.mayHaveStated(worker("i-1", NOW_MILLIS + 2_000, false)), "within the clocks' difference");
+        assertFalse(departed.mayHaveStated(worker("i-1", NOW_MILLIS + 2_001, false)));
+        assertFalse(departed.mayHaveStated(worker("i-2", 6, false)));
+    }
+
+    @Test
+    void processThatWasFoundInUseStaysInUseThoughOtherHostsReportTheDepartureAgain() {
+        departed.recordStated(worker("i-1", 5, false), NOW_MILLIS);
+        departed.foundInUse(worker("i-1", 6, false));
+        departed.returned(worker("i-1", 6, false).id());
+        departed.news(NOW_MILLIS + 1).forEach(each -> departed.merge(each, NOW_MILLIS + 1));
+        assertFalse(departed.mayHaveStated(worker("i-1", 6, false)));
+        assertTrue(departed.mayHaveStated(worker("i-1", 7, false)), "a later process has not been asked");
+        departed.recordStated(worker("i-1", 6, false), NOW_MILLIS + 2);
+        assertTrue(departed.hasStated(worker("i-1", 6, false)));
+    }
+
     @Test
     void storesWordDoesNotReplaceAStatedDepartureOfTheSameProcess() {
         departed.recordStated(worker("i-1", 5, false), NOW_MILLIS);
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -45,6 +45,7 @@
 import org.guavathread.gateway.call.RequestRouter;
 import org.guavathread.gateway.call.ServerNotices;
 import org.guavathread.gateway.call.ServerRelay;
+import org.guavathread.gateway.fleet.DepartureCheck;
 import org.guavathread.gateway.fleet.FleetRelay;
 import org.guavathread.gateway.fleet.GossipReporter;
 import org.guavathread.gateway.fleet.GossipSocket;
@@ -135,6 +136,7 @@
     private final ReachMonitor reach;
     private final StateSynchroniser stateSynchroniser;
     private final RoleCoordinator roleCoordinator;
+    private final DepartureCheck departureCheck;
     private final CallerServer callerServer;
     private final long startedAtMillis;
     private volatile boolean leaving;
@@ -193,6 +195,8 @@
                 this::step);
         this.roleCoordinator =
                 new RoleCoordinator(settings.hostId(), context, fleet, new RolePlan(settings.prefillShare()));
+        this.departureCheck =
+                new DepartureCheck(context, changes -> stateSynchroniser.handleChanges(changes, "departure check"));
         supervisor.add(context.log());
         supervisor.add(context.loop());
         supervisor.add(socket[0]);
@@ -398,6 +402,7 @@
         if (settings.prefillShare() >= 0) {
             roleCoordinator.step(reporter.phase());
         }
+        departureCheck.step();
         reach.step();
         reporter.cutOff(reach.isCutOff());
         entry.update(fleet, reporter.phase(), reach.isCutOff(), settings.dataCentre(), clock.nowMillis());
