Count a crash during a continuation's confirmation against its request

The failure is passed on now, and an answer that is dropped for want of a confirmation no longer counts against the engine's health.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineRun.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineRun.java
@@ -202,6 +202,16 @@
 
     /** Handles a failed run: retries on another engine if that is allowed, or reports the failure to the caller. */
     void failed(String reason, boolean isUnresponsive) {
+        if (isUnresponsive) {
+            call.context.health().unreachable(worker.id(), call.now());
+        } else {
+            call.context.health().failed(worker.id(), call.now());
+        }
+        dropped(reason);
+    }
+
+    /** Handles an answer that the caller must not get, though the engine may be sound, as a failed run otherwise. */
+    void dropped(String reason) {
         finished = true;
         if (head == null) {
             call.countRun();
@@ -216,11 +226,6 @@
                 .with("parts", call.promptPartIds())
                 .write();
         call.context.metrics().sent("run", "BROKEN");
-        if (isUnresponsive) {
-            call.context.health().unreachable(worker.id(), call.now());
-        } else {
-            call.context.health().failed(worker.id(), call.now());
-        }
         if (call.mayRunOnceMore() && !call.isCrashSuspect() && call.takeRetry()) {
             call.place();
         } else {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/HeldAnswer.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/HeldAnswer.java
@@ -29,6 +29,7 @@
     private final List<Runnable> held = new ArrayList<>();
     private long heldBytes;
     private State state = State.AWAITS_HEAD;
+    private HttpExchangeException failure;
 
     HeldAnswer(StreamCall call, EngineRun run, ProcessCheck processCheck) {
         this.call = call;
@@ -51,10 +52,14 @@
         if (state != State.HELD) {
             return;
         }
-        if (outcome == ProcessCheck.Outcome.SAME) {
+        if (outcome.isConfirmed()) {
             state = State.RELEASED;
             held.forEach(Runnable::run);
             held.clear();
+        } else if (failure != null) {
+            // The failure says more of the engine than the missing confirmation.
+            state = State.DROPPED;
+            run.onFailure(failure);
         } else {
             drop("it is not known to come from the expected process");
         }
@@ -64,7 +69,7 @@
         state = State.DROPPED;
         held.clear();
         if (!call.isEnded() && !run.isFinished()) {
-            run.failed("the continuation is dropped: " + reason, false);
+            run.dropped("the continuation is dropped: " + reason);
         }
     }
 
@@ -91,7 +96,8 @@
     }
 
     @Override
-    public void onFailure(HttpExchangeException failure) {
-        pass(() -> run.onFailure(failure));
+    public void onFailure(HttpExchangeException cause) {
+        failure = cause;
+        pass(() -> run.onFailure(cause));
     }
 }
