--- a/guavathread-core/src/main/java/org/guavathread/core/registry/ServerProcesses.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/registry/ServerProcesses.java
@@ -61,15 +61,16 @@
         if (!isOther || entry.startedAtMillis() == 0 || askedAtMillis < entry.sinceMillis()) {
             return Optional.empty();
         }
-        replacements.put(known.id(), new Replacement(entry.startedAtMillis(), startedAtMillis, stage));
-        return Optional.of(known.replacedBy(startedAtMillis, stage));
+        EngineStage nextStage = stage == EngineStage.NONE ? known.stage() : stage;
+        replacements.put(known.id(), new Replacement(entry.startedAtMillis(), startedAtMillis, nextStage));
+        return Optional.of(known.replacedBy(startedAtMillis, nextStage));
     }
 
     /** Returns the version for which a value stands, if the process has registered; otherwise the value itself. */
     SoftwareVersion resolve(SoftwareVersion version) {
         return version.unknownProcess()
                 .map(registered::get)
-                .map(Registered::version)
+                .map(r -> version.resolvedBy(r.version()))
                 .orElse(version);
     }
 
