Settle the origin of a stream once, by its server, then by the store's settled word

The value that is recorded now names both processes and is resolved to their version once both are known to have it (SoftwareVersion.orThatOf). - LOST: a server that fell silent right after the first event kept its stream to the end. Where a server does not answer, the store's word counts once a process that had started again would have written its entry (1.5 s). - A question that was asked again could restrict a stream that had gone on by then; nothing is asked after the origin is settled. - An entry that changes its version but states no start is another process (ORDER).

--- a/guavathread-core/src/main/java/org/guavathread/core/registry/SoftwareVersion.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/registry/SoftwareVersion.java
@@ -16,6 +16,9 @@
 
     private static final char SEPARATOR = '@';
 
+    /** Ends the server's id, if a version follows; ids contain no spaces. */
+    private static final char END_OF_ID = ' ';
+
     /**
      * Checks the version.
      *
@@ -38,20 +41,42 @@
         return new SoftwareVersion(UNKNOWN + process.startedAtMillis() + SEPARATOR + process.server());
     }
 
+    /**
+     * Stands for this version or that of a process whose entry is not known.
+     *
+     * @param process the process
+     * @return a value that names both; it equals only itself
+     */
+    public SoftwareVersion orThatOf(ServerProcess process) {
+        return new SoftwareVersion(unknownOf(process).value() + END_OF_ID + value);
+    }
+
+    /**
+     * Returns the version that this value stands for, once that of its process is known.
+     *
+     * @param ofProcess version of the process that {@link #unknownProcess()} returns
+     * @return that version, or this value if it may stand for another one too
+     */
+    public SoftwareVersion resolvedBy(SoftwareVersion ofProcess) {
+        int end = value.indexOf(END_OF_ID);
+        return end < 0 || value.substring(end + 1).equals(ofProcess.value()) ? ofProcess : this;
+    }
+
     /**
      * Returns the process for whose version this value stands.
      *
      * @return the process, or empty if this is a version
      */
     public Optional<ServerProcess> unknownProcess() {
-        int end = value.indexOf(SEPARATOR, UNKNOWN.length());
-        if (!value.startsWith(UNKNOWN) || end < 0) {
+        int start = value.indexOf(SEPARATOR, UNKNOWN.length());
+        if (!value.startsWith(UNKNOWN) || start < 0) {
             return Optional.empty();
         }
+        int end = value.indexOf(END_OF_ID);
         try {
             return Optional.of(new ServerProcess(
-                    new BackendServerId(value.substring(end + 1)),
-                    Long.parseLong(value.substring(UNKNOWN.length(), end))));
+                    new BackendServerId(value.substring(start + 1, end < 0 ? value.length() : end)),
+                    Long.parseLong(value.substring(UNKNOWN.length(), start))));
         } catch (IllegalArgumentException e) {
             return Optional.empty();
         }
--- a/guavathread-core/src/test/java/org/guavathread/core/registry/WorkerRegistryTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/registry/WorkerRegistryTest.java
@@ -205,4 +205,19 @@
         stated(20, 200);
         assertEquals(List.of(), usable());
     }
+
+    @Test
+    void aStreamOfOneOfTwoProcessesBelongsToTheirVersionOnceBothAreKnownToHaveIt() {
+        registry.put(process("v1", 10), 100);
+        ServerProcess same = new ServerProcess(new BackendServerId("a"), 20);
+        ServerProcess other = new ServerProcess(new BackendServerId("a"), 30);
+        SoftwareVersion either = new SoftwareVersion("v1").orThatOf(same);
+        SoftwareVersion mixed = new SoftwareVersion("v1").orThatOf(other);
+        assertEquals(Optional.of(same), either.unknownProcess());
+        assertEquals(either, registry.resolve(either));
+        registry.put(process("v1", 20), 200);
+        registry.put(process("v2", 30), 300);
+        assertEquals(new SoftwareVersion("v1"), registry.resolve(either));
+        assertEquals(mixed, registry.resolve(mixed));
+    }
 }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ProcessCheck.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ProcessCheck.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
-import org.guavathread.core.registry.ServerProcess;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.gateway.protocol.EngineReport;
 import org.guavathread.router.http.HttpResponse;
@@ -23,22 +22,28 @@
     enum Outcome {
         /** The process is the expected one. */
         SAME,
+        /** The engine does not answer, and the store lists the expected process. */
+        LISTED,
         /** Another process answers. */
         OTHER,
-        /** There is no answer, or none that tells the processes apart. */
-        UNKNOWN
+        /** Neither the engine nor the store tells. */
+        UNKNOWN;
+
+        /** Returns whether a stream may go on at the engine. */
+        boolean isConfirmed() {
+            return this == SAME || this == LISTED;
+        }
     }
 
     /** Timeout of a report: a busy engine takes some hundred milliseconds. */
     private static final long TIMEOUT_MILLIS = 600;
 
     private static final int MISDIRECTED = 421;
-    private static final int OK = 200;
 
     private final GatewayContext context;
     private final BackendClient backendClient;
     private final RequestRouter.StoreWord storeWord;
-    private final Map<ServerProcess, List<Consumer<Outcome>>> waiting = new HashMap<>();
+    private final Map<Worker, List<Consumer<Outcome>>> waiting = new HashMap<>();
 
     /**
      * Creates a check.
@@ -55,36 +60,33 @@
 
     /** Asks whether an engine is still the process that is expected; the answer is later than this call. */
     void ask(Worker expected, Consumer<Outcome> onDone) {
-        List<Consumer<Outcome>> others = waiting.get(expected.process());
+        List<Consumer<Outcome>> others = waiting.get(expected);
         if (others != null) {
             // A question that is under way may be answered with the state before this call.
             others.add(onDone);
             return;
         }
-        waiting.put(expected.process(), new ArrayList<>());
+        waiting.put(expected, new ArrayList<>());
         send(expected, List.of(onDone));
     }
 
     private void send(Worker expected, List<Consumer<Outcome>> asking) {
         long askedAtMillis = context.loop().nowMillis();
         if (context.pauses().isPaused(expected, askedAtMillis)) {
-            askStore(expected, outcome -> done(expected, outcome, asking));
+            askStore(expected, Outcome.LISTED, outcome -> done(expected, outcome, asking));
             return;
         }
         backendClient.send(
                 expected,
                 context.backendProtocol().report(expected, askedAtMillis + TIMEOUT_MILLIS),
                 answer -> answered(expected, askedAtMillis, answer, outcome -> done(expected, outcome, asking)),
-                failure -> {
-                    log(expected, Outcome.UNKNOWN, failure.getMessage());
-                    done(expected, Outcome.UNKNOWN, asking);
-                });
+                failure -> askStore(expected, Outcome.LISTED, outcome -> done(expected, outcome, asking)));
     }
 
     private void done(Worker expected, Outcome outcome, List<Consumer<Outcome>> asking) {
-        List<Consumer<Outcome>> next = waiting.remove(expected.process());
+        List<Consumer<Outcome>> next = waiting.remove(expected);
         if (!next.isEmpty()) {
-            waiting.put(expected.process(), new ArrayList<>());
+            waiting.put(expected, new ArrayList<>());
             send(expected, next);
         }
         asking.forEach(each -> each.accept(outcome));
@@ -98,24 +100,24 @@
         if (statesStart && expected.startedAtMillis() != 0) {
             boolean isSame = report.get().startedAtMillis().getAsLong() == expected.startedAtMillis();
             conclude(expected, isSame ? Outcome.SAME : Outcome.OTHER, "its report", onDone);
-        } else if (answer.status() == OK) {
-            askStore(expected, onDone);
+        } else if (answer.status() == MISDIRECTED) {
+            conclude(expected, Outcome.OTHER, "status " + answer.status(), onDone);
         } else {
-            Outcome outcome = answer.status() == MISDIRECTED ? Outcome.OTHER : Outcome.UNKNOWN;
-            conclude(expected, outcome, "status " + answer.status(), onDone);
+            askStore(expected, report.isPresent() ? Outcome.SAME : Outcome.LISTED, onDone);
         }
     }
 
-    /** Concludes from the store's present word, if the engine states no start or wants no requests. */
-    private void askStore(Worker expected, Consumer<Outcome> onDone) {
+    /** Concludes from the store's present word, which is all that there is if the engine does not state its start. */
+    private void askStore(Worker expected, Outcome listed, Consumer<Outcome> onDone) {
         storeWord.confirm(isCurrent -> {
             boolean isListed = context.state()
                     .registry()
                     .find(expected.id())
-                    .filter(w -> w.process().equals(expected.process()))
+                    .filter(w -> w.process().equals(expected.process())
+                            && w.softwareVersion().equals(expected.softwareVersion()))
                     .isPresent();
-            Outcome listed = isListed ? Outcome.SAME : Outcome.OTHER;
-            conclude(expected, isCurrent ? listed : Outcome.UNKNOWN, "the store", onDone);
+            Outcome outcome = isListed ? listed : Outcome.OTHER;
+            conclude(expected, isCurrent ? outcome : Outcome.UNKNOWN, "the store", onDone);
         });
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -233,10 +233,10 @@
         }
         Worker engine = plan().map(EnginePlan::decode).orElse(untried().get(0));
         processCheck.ask(engine, outcome -> {
-            if (outcome != ProcessCheck.Outcome.SAME) {
+            if (!outcome.isConfirmed()) {
                 fullEngines.add(engine.id());
             }
-            onDone.accept(outcome == ProcessCheck.Outcome.SAME);
+            onDone.accept(outcome.isConfirmed());
         });
     }
 
@@ -259,7 +259,7 @@
             if (isEnded()) {
                 return;
             }
-            if (outcome == ProcessCheck.Outcome.SAME) {
+            if (outcome.isConfirmed()) {
                 reserve(plan);
             } else {
                 fullEngines.add(engine.id());
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamOrigin.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamOrigin.java
@@ -19,13 +19,18 @@
 
     private static final int MAX_QUESTIONS = 5;
 
+    /** Time within which a server that has started again has written its entry; servers write about every 1.2 s. */
+    private static final long ENTRY_DELAY_MILLIS = 1_500;
+
     private final GatewayContext context;
     private final AdmittedRequest admitted;
     private final RequestRouter.Origins origins;
     private final ProcessCheck processCheck;
+    private Worker server;
+    private Consumer<SoftwareVersion> onOtherProcess;
     private Consumer<Optional<SoftwareVersion>> onSettled;
+    private long firstEventAtMillis;
     private boolean isAsking;
-    private boolean isUnanswered;
     private int questions;
 
     StreamOrigin(
@@ -41,62 +46,80 @@
 
     /** Finds the version of a stream that the caller takes up again. */
     void find(Consumer<Optional<SoftwareVersion>> onResult) {
-        find(admitted.request().resumedAttemptId(), onResult);
-    }
-
-    private void find(Optional<String> attemptId, Consumer<Optional<SoftwareVersion>> onResult) {
-        origins.find(attemptId, admitted.service(), admitted.rule().timeoutMillis(), onResult);
+        origins.find(
+                admitted.request().resumedAttemptId(),
+                admitted.service(),
+                admitted.rule().timeoutMillis(),
+                onResult);
     }
 
     /**
      * Records the server that wrote the first event, and tells other hosts once its version is certain.
      *
-     * @param server the server, as it was known when the request was sent
-     * @param onOtherProcess receives a version that no server has if another process than the known one may have written
-     *     the event
+     * @param asKnown the server, as it was known when the request was sent
+     * @param onOther receives a version that no server has if another process than the known one may have written the event
      */
-    void began(Worker server, Consumer<SoftwareVersion> onOtherProcess) {
+    void began(Worker asKnown, Consumer<SoftwareVersion> onOther) {
         if (admitted.rule().mayRunAgain() && admitted.request().lastEventId().isEmpty()) {
+            server = asKnown;
+            onOtherProcess = onOther;
+            firstEventAtMillis = context.loop().nowMillis();
             isAsking = true;
-            ask(server, onOtherProcess);
+            ask();
         }
     }
 
-    private void ask(Worker server, Consumer<SoftwareVersion> onOtherProcess) {
+    private void ask() {
         questions++;
-        isUnanswered = false;
         processCheck.ask(server, outcome -> {
-            switch (outcome) {
-                case SAME -> known(server.softwareVersion());
-                case OTHER -> {
-                    SoftwareVersion either = SoftwareVersion.unknownOf(new ServerProcess(server.id(), 0));
-                    onOtherProcess.accept(either);
-                    known(either);
-                }
-                default -> unanswered(server, onOtherProcess);
+            if (!isAsking) {
+                return;
+            }
+            boolean isOld = context.loop().nowMillis() >= firstEventAtMillis + ENTRY_DELAY_MILLIS;
+            if (outcome == ProcessCheck.Outcome.SAME || outcome == ProcessCheck.Outcome.LISTED && isOld) {
+                known(server.softwareVersion());
+            } else if (outcome == ProcessCheck.Outcome.OTHER) {
+                otherAnswered();
+            } else if (questions < MAX_QUESTIONS) {
+                retry(outcome == ProcessCheck.Outcome.LISTED);
+            } else {
+                settle(Optional.empty());
             }
         });
     }
 
+    /** Asks again later, but not before the store's word counts if that is all that there is. */
+    private void retry(boolean isListed) {
+        long now = context.loop().nowMillis();
+        long retryAtMillis = now + (FIRST_RETRY_MILLIS << (questions - 1));
+        long entryAtMillis = firstEventAtMillis + ENTRY_DELAY_MILLIS;
+        context.loop()
+                .schedule(
+                        isListed && now < entryAtMillis ? Math.min(retryAtMillis, entryAtMillis) : retryAtMillis,
+                        () -> {
+                            if (isAsking) {
+                                ask();
+                            }
+                        });
+    }
+
     private void known(SoftwareVersion version) {
         origins.began(
                 admitted.request().attemptId(), version, admitted.request().deadlineMillis());
         settle(Optional.of(version));
     }
 
-    private void unanswered(Worker server, Consumer<SoftwareVersion> onOtherProcess) {
-        isUnanswered = true;
-        if (onSettled != null) {
-            concludeWithoutTheServer();
-        }
-        if (questions < MAX_QUESTIONS) {
-            long delayMillis = FIRST_RETRY_MILLIS << (questions - 1);
-            context.loop().schedule(context.loop().nowMillis() + delayMillis, () -> ask(server, onOtherProcess));
-        }
-    }
-
-    private void concludeWithoutTheServer() {
-        find(Optional.of(admitted.request().attemptId()), this::settle);
+    /** Either the known process or the one that answers has written the first event. */
+    private void otherAnswered() {
+        long startedAtMillis = context.state()
+                .registry()
+                .find(server.id())
+                .filter(w -> !w.process().equals(server.process()))
+                .map(Worker::startedAtMillis)
+                .orElse(0L);
+        SoftwareVersion either = server.softwareVersion().orThatOf(new ServerProcess(server.id(), startedAtMillis));
+        onOtherProcess.accept(either);
+        known(either);
     }
 
     private void settle(Optional<SoftwareVersion> version) {
@@ -113,11 +136,8 @@
         return !isAsking;
     }
 
-    /** Waits until the version is settled; without an answer of the server it may be empty. */
+    /** Waits until the version is settled; it may be empty. */
     void whenSettled(Consumer<Optional<SoftwareVersion>> action) {
         onSettled = action;
-        if (isUnanswered) {
-            concludeWithoutTheServer();
-        }
     }
 }
