Ask engines for the stream of a caller that no host knows

Callers whose hosts were killed take their streams up at the one host that survived; with two versions in service it refused each stream whose origin it had not been told.

Cause: engines were asked only by a host that starts, and that host had not. The hosts that started asked them 0.8 s after the last refusal. Engines do tell: reports are up to a second old, so they name runs that ended with the connections of the killed hosts.

A take-up that is unknown now waits for a second at most, while the host asks the engines of the service (64 at most, else those that it is assigned to, in rounds that callers share, 200 ms apart at least) and the hosts that keep the origin. Two versions that report one attempt make it unknown, as before.

Ruled out: room, versions that had left, late answers (none among the 17 refusals of the trace); the store's history (it named two versions).

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -57,10 +57,10 @@
 import org.guavathread.gateway.fleet.ReachMonitor;
 import org.guavathread.gateway.fleet.RelayHosts;
 import org.guavathread.gateway.fleet.RoleCoordinator;
-import org.guavathread.gateway.fleet.RunSurvey;
 import org.guavathread.gateway.fleet.StateRelay;
 import org.guavathread.gateway.fleet.StateSynchroniser;
 import org.guavathread.gateway.fleet.StoreConfirmation;
+import org.guavathread.gateway.fleet.StoreHistoryReader;
 import org.guavathread.gateway.log.DecisionLog;
 import org.guavathread.gateway.log.GatewayMetrics;
 import org.guavathread.gateway.loop.EventLoop;
@@ -130,7 +130,6 @@
     private final EntryAnswers entry;
     private final GossipReporter reporter;
     private final OriginDirectory origins;
-    private final StoreConfirmation storeWord;
     private final RequestRouter router;
     private final ServerRelay relay;
     private final ReachMonitor reach;
@@ -175,8 +174,14 @@
                 settings.listenPeers());
         this.reporter = new GossipReporter(identity, context, fleet, socket[0]);
         StoreClient store = platform.storeClient(context.client(), settings);
-        this.storeWord = new StoreConfirmation(context, store, this::stateConfirmed);
-        this.origins = new OriginDirectory(context, fleet, socket[0], store, settings.storeHistoryMillis(), storeWord);
+        StoreConfirmation storeWord = new StoreConfirmation(context, store, this::stateConfirmed);
+        this.origins = new OriginDirectory(
+                context,
+                fleet,
+                socket[0],
+                new StoreHistoryReader(context, store, settings.storeHistoryMillis()),
+                storeWord,
+                reporter::decidesFor);
         this.router = new RequestRouter(
                 context,
                 reporter,
@@ -396,7 +401,7 @@
         if (reporter.phase() == HostPhase.STARTING && context.state().table().isPresent()) {
             reporter.phase(HostPhase.READY);
             if (!settings.isFirstStart()) {
-                new RunSurvey(context, origins, storeWord, reporter::decidesFor).start();
+                origins.hostStarted();
             }
         }
         if (settings.prefillShare() >= 0) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/OriginDirectory.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/OriginDirectory.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import org.guavathread.core.gossip.FleetView;
 import org.guavathread.core.gossip.HostPhase;
@@ -16,7 +17,6 @@
 import org.guavathread.core.stream.StreamOrigins;
 import org.guavathread.gateway.call.GatewayContext;
 import org.guavathread.gateway.call.RequestRouter;
-import org.guavathread.gateway.protocol.StoreClient;
 import org.guavathread.router.http.HttpResponse;
 import org.guavathread.wire.CodecException;
 import org.tinylog.Logger;
@@ -38,6 +38,12 @@
     /** Time for which a host may go on using a server whose entry is gone, and so begin streams there. */
     private static final long LATE_USE_MILLIS = 5_000;
 
+    /**
+     * For how long a caller waits for the origin of its stream: reports of engines may be up to a second old, and the host
+     * that passed the first event on may still be asking which process wrote it.
+     */
+    private static final long MAX_WAIT_MILLIS = 1_000;
+
     private static final int STATUS_OK = 200;
 
     private final GatewayContext context;
@@ -45,6 +51,7 @@
     private final GossipSocket socket;
     private final StoreHistoryReader history;
     private final RequestRouter.StoreWord storeWord;
+    private final RunSurvey survey;
     private final StreamOrigins origins = new StreamOrigins();
     private final OriginRelay relay = new OriginRelay();
 
@@ -54,22 +61,28 @@
      * @param context source of the servers' versions
      * @param fleet this host's view of the other hosts
      * @param socket sends notices
-     * @param store the store, whose history is read when no host knows a stream
-     * @param historyMillis for how long the store remembers changes, in milliseconds; 0 if that is not known
+     * @param history the store's history, which is read when no host knows a stream
      * @param storeWord asks the store for its present state
+     * @param isAssigned tells whether this host asks the engine with the given name, if hosts share the engines
      */
     public OriginDirectory(
             GatewayContext context,
             FleetView fleet,
             GossipSocket socket,
-            StoreClient store,
-            long historyMillis,
-            RequestRouter.StoreWord storeWord) {
+            StoreHistoryReader history,
+            RequestRouter.StoreWord storeWord,
+            Predicate<String> isAssigned) {
         this.storeWord = storeWord;
         this.context = context;
         this.fleet = fleet;
         this.socket = socket;
-        this.history = new StoreHistoryReader(context, store, historyMillis);
+        this.history = history;
+        this.survey = new RunSurvey(context, this::isRunning, storeWord, isAssigned);
+    }
+
+    /** Asks the engines which streams they are running, as this host remembers none. */
+    public void hostStarted() {
+        survey.start();
     }
 
     @Override
@@ -77,15 +90,12 @@
         publish(attemptId, version, StreamOrigins.Source.FIRST_EVENT, expiresAtMillis - now());
     }
 
-    /**
-     * Records that a server runs a stream.
-     *
-     * @param attemptId id of the caller attempt
-     * @param version version of the server, or the value that stands for it
-     */
-    void isRunning(String attemptId, SoftwareVersion version) {
+    private void isRunning(String attemptId, SoftwareVersion version) {
         SoftwareVersion resolved = context.state().registry().resolve(version);
-        publish(attemptId, resolved, StreamOrigins.Source.RUNNING, MAX_LIFETIME_MILLIS);
+        boolean isNew = !origins.find(StreamOrigins.keyOf(attemptId), now()).equals(Optional.of(resolved));
+        if (isNew) {
+            publish(attemptId, resolved, StreamOrigins.Source.RUNNING, MAX_LIFETIME_MILLIS);
+        }
     }
 
     private void publish(String attemptId, SoftwareVersion version, StreamOrigins.Source source, long lifetimeMillis) {
@@ -122,12 +132,11 @@
             long maxAgeMillis,
             Consumer<Optional<SoftwareVersion>> onResult) {
         Search search = new Search(attemptId, service, maxAgeMillis + LATE_USE_MILLIS, onResult);
-        Optional<Long> attempt = attemptId.map(StreamOrigins::keyOf);
-        Optional<SoftwareVersion> known = attempt.flatMap(key -> origins.find(key, now()));
+        Optional<SoftwareVersion> known = search.attempt.flatMap(key -> origins.find(key, now()));
         if (known.isPresent()) {
             search.found("known", known.get());
-        } else if (attempt.isPresent()) {
-            search.ask(attempt.get());
+        } else if (search.attempt.isPresent()) {
+            search.ask(search.attempt.get());
         } else {
             search.concludeFromVersions();
         }
@@ -148,10 +157,12 @@
     private final class Search {
 
         private final Optional<String> attemptId;
+        private final Optional<Long> attempt;
         private final ServiceName service;
         private final long maxAgeMillis;
         private final Consumer<Optional<SoftwareVersion>> onResult;
         private final long startedAtMillis = now();
+        private Optional<String> concluded = Optional.empty();
         private int answersLeft;
         private boolean ended;
 
@@ -161,6 +172,7 @@
                 long maxAgeMillis,
                 Consumer<Optional<SoftwareVersion>> onResult) {
             this.attemptId = attemptId;
+            this.attempt = attemptId.map(StreamOrigins::keyOf);
             this.service = service;
             this.maxAgeMillis = maxAgeMillis;
             this.onResult = onResult;
@@ -180,7 +192,7 @@
             List<HostReport> keepers = keepersOf(attempt);
             answersLeft = keepers.size();
             if (keepers.isEmpty()) {
-                concludeFromVersions();
+                noHostKnows();
                 return;
             }
             keepers.forEach(peer -> context.client()
@@ -194,7 +206,7 @@
             if (version.isPresent()) {
                 found("told by " + peer.host(), version.get());
             } else if (answersLeft == 0) {
-                concludeFromVersions();
+                noHostKnows();
             }
         }
 
@@ -243,7 +255,7 @@
                 } else if (isCurrent) {
                     readHistory();
                 } else {
-                    end("unknown", Optional.empty());
+                    askEngines("unknown");
                 }
             });
         }
@@ -253,19 +265,46 @@
                 return;
             }
             if (versionsOfItsTime().isPresent()) {
-                end("several versions", Optional.empty());
+                askEngines("several versions");
                 return;
             }
             if (!context.state().registry().isSourceReachable()) {
-                end("unknown", Optional.empty());
+                askEngines("unknown");
                 return;
             }
             history.read(maxAgeMillis, () -> {
                 Optional<SoftwareVersion> only = onlyVersion();
-                end(only.isPresent() ? "only version by the store's history" : "unknown", only);
+                if (only.isPresent()) {
+                    end("only version by the store's history", only);
+                } else {
+                    askEngines("unknown");
+                }
             });
         }
 
+        /** Asks the engines that may run the stream, and then the hosts again, until the caller has waited long enough. */
+        private void askEngines(String outcome) {
+            concluded = Optional.of(outcome);
+            if (attempt.isEmpty() || now() >= startedAtMillis + MAX_WAIT_MILLIS) {
+                end(outcome, Optional.empty());
+            } else {
+                survey.ask(service, this::findAgain);
+            }
+        }
+
+        private void noHostKnows() {
+            concluded.ifPresentOrElse(this::askEngines, this::concludeFromVersions);
+        }
+
+        private void findAgain() {
+            Optional<SoftwareVersion> known = origins.find(attempt.get(), now());
+            if (known.isPresent()) {
+                found("running", known.get());
+            } else {
+                ask(attempt.get());
+            }
+        }
+
         private void end(String outcome, Optional<SoftwareVersion> version) {
             if (ended) {
                 return;
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StoreHistoryReader.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StoreHistoryReader.java
@@ -13,7 +13,7 @@
  * Reads what the store remembers of the time before this host started, to learn which software versions servers had then.
  * Runs on the event loop's thread.
  */
-final class StoreHistoryReader {
+public final class StoreHistoryReader {
 
     private static final long SHORTEST_WAIT_MILLIS = 1;
 
@@ -39,7 +39,7 @@
      * @param store the store
      * @param historyMillis for how long the store remembers changes, in milliseconds; 0 if that is not known
      */
-    StoreHistoryReader(GatewayContext context, StoreClient store, long historyMillis) {
+    public StoreHistoryReader(GatewayContext context, StoreClient store, long historyMillis) {
         this.context = context;
         this.store = store;
         this.historyMillis = historyMillis;
