Ask no engine in a pause which streams it runs

A server that turns a request away with a pause wants nothing from this host for so long (BUDGET). A take-up that no host knows led to up to five questions to each engine in that time: 20 in the pauses of four servers in serverInAPauseIsNotAskedWhichStreamsItRuns before, 0 now.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/RunSurvey.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/RunSurvey.java
@@ -113,11 +113,14 @@
         round.answered();
     }
 
+    /** Returns the engines that want requests. */
     private List<Worker> engines(Predicate<Worker> filter) {
         WorkerRegistry registry = context.state().registry();
+        long now = context.loop().nowMillis();
         return registry.ids().stream()
                 .flatMap(id -> registry.find(id).stream())
                 .filter(w -> w.stage().generates() && filter.test(w))
+                .filter(w -> !context.pauses().isPaused(w, now))
                 .collect(Collectors.toCollection(ArrayList::new));
     }
 
