--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/OriginDirectory.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/OriginDirectory.java
@@ -44,6 +44,8 @@
      */
     private static final long MAX_WAIT_MILLIS = 1_000;
 
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
     private static final int STATUS_OK = 200;
 
     private final GatewayContext context;
@@ -54,6 +56,7 @@
     private final RunSurvey survey;
     private final StreamOrigins origins = new StreamOrigins();
     private final OriginRelay relay = new OriginRelay();
+    private long startedAgainAtMillis = NEVER;
 
     /**
      * Creates a directory.
@@ -82,6 +85,7 @@
 
     /** Asks the engines which streams they are running, as this host remembers none. */
     public void hostStarted() {
+        startedAgainAtMillis = now();
         survey.start();
     }
 
@@ -282,10 +286,14 @@
             });
         }
 
-        /** Asks the engines that may run the stream, and then the hosts again, until the caller has waited long enough. */
+        /** Asks the engines that may run the stream, and then the hosts again, as long as a later answer may tell more. */
         private void askEngines(String outcome) {
+            // Reports that this host asked for when it started are younger than the loss of the hosts that knew.
+            boolean askedAtStart = now() < startedAgainAtMillis + maxAgeMillis;
+            long untilMillis = startedAtMillis + (askedAtStart ? 0 : MAX_WAIT_MILLIS);
+            boolean hasAsked = concluded.isPresent();
             concluded = Optional.of(outcome);
-            if (attempt.isEmpty() || now() >= startedAtMillis + MAX_WAIT_MILLIS) {
+            if (attempt.isEmpty() || hasAsked && now() >= untilMillis) {
                 end(outcome, Optional.empty());
             } else {
                 survey.ask(service, this::findAgain);
