--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipSocket.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipSocket.java
@@ -81,6 +81,17 @@
         return codec.encode(new Frame(0, false, message));
     }
 
+    /**
+     * Decodes a message.
+     *
+     * @param bytes the datagram
+     * @return the message
+     * @throws CodecException if the bytes are no message
+     */
+    PeerMessage decode(byte[] bytes) {
+        return codec.decode(bytes).message();
+    }
+
     /**
      * Sends a message; delivery is not guaranteed.
      *
@@ -128,7 +139,7 @@
             byte[] bytes = new byte[buffer.remaining()];
             buffer.get(bytes);
             try {
-                onMessage.accept(codec.decode(bytes).message());
+                onMessage.accept(decode(bytes));
             } catch (CodecException e) {
                 Logger.warn("A gossip packet from {} cannot be decoded: {}.", ctx.getAddress(), e.getMessage());
             }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateRelay.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateRelay.java
@@ -77,8 +77,11 @@
         Optional<StateSnapshot.Item> configuration = state.configuration()
                 .filter(c -> state.version() > known.version())
                 .map(StateRelay::encode);
-        return codec.encode(new Frame(
-                0, false, new StateSnapshot(state.position(), items, configuration, state.departures(nowMillis))));
+        return encode(new StateSnapshot(state.position(), items, configuration, state.departures(nowMillis)));
+    }
+
+    byte[] encode(StateSnapshot snapshot) {
+        return codec.encode(new Frame(0, false, snapshot));
     }
 
     private static StateSnapshot.Item encode(StoreItem item) {
