Read messages of hosts of other builds

The gateway's codecs now skip fields that they don't know, and give fields that are missing the default that LaterField states beside the component. A component that is the only one of its message may gain others, unless it is a list. A constant that a build doesn't know reads as the one that is marked: an unknown phase as starting, which takes no callers but counts in shares, an unknown rank as an empty queue, an unknown source of a stream's origin as the weaker one. Messages that cannot be read, among them those of an unknown type, are counted in guavathread_unreadable_messages_total, and one in ten seconds is logged.

guavathreadd keeps the exact codec: its hosts refuse other fields as before (exactCodecsRefuseOtherFields). Ruled out: a default by type alone, since 0 and false are not the safe value of each field; a tolerant codec for all, which changes the daemon.

The bytes that are written are unchanged (MessageFormatTest).

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/WaitingRank.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/WaitingRank.java
@@ -1,5 +1,7 @@
 package org.guavathread.core.dispatch;
 
+import org.guavathread.core.message.UnknownConstant;
+
 /** Scheduling rank of a queued request, best first. Hosts report the best rank of their queue to each other. */
 public enum WaitingRank {
     /** It can meet its latency target, and its workspace is within its fair share. */
@@ -9,6 +11,7 @@
     /** It will miss its latency target, so its answer is worth little to its caller. */
     LATE,
     /** The queue is empty. */
+    @UnknownConstant
     NONE;
 
     /**
--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/HostPhase.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/HostPhase.java
@@ -1,8 +1,11 @@
 package org.guavathread.core.gossip;
 
+import org.guavathread.core.message.UnknownConstant;
+
 /** Lifecycle phase of a host, which decides whether it accepts callers. */
 public enum HostPhase {
     /** Has not loaded a configuration yet. */
+    @UnknownConstant
     STARTING(false),
     /** Serves callers. */
     READY(true),
--- a/guavathread-core/src/main/java/org/guavathread/core/stream/StreamOrigins.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/stream/StreamOrigins.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.guavathread.core.message.UnknownConstant;
 import org.guavathread.core.registry.SoftwareVersion;
 
 import com.dynatrace.hash4j.hashing.Hashing;
@@ -28,6 +29,7 @@
         /** The host that passed its first event on knows the server. */
         FIRST_EVENT,
         /** A server reports that it runs the attempt. */
+        @UnknownConstant
         RUNNING
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -165,7 +165,7 @@
         this.fleet = new FleetView(settings.hostId(), startedAtMillis, settings.seeds(), random.split());
         this.entry = new EntryAnswers(settings.listenCallers());
         GossipSocket[] socket = new GossipSocket[1];
-        socket[0] = new GossipSocket(settings.listenPeers(), this::messageReceived);
+        socket[0] = new GossipSocket(settings.listenPeers(), this::messageReceived, context.metrics());
         GossipReporter.Identity identity = new GossipReporter.Identity(
                 settings.hostId(),
                 startedAtMillis,
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/FleetRelay.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/FleetRelay.java
@@ -18,7 +18,7 @@
     private static final long TIMEOUT_MILLIS = 800;
 
     private final FrameCodec codec =
-            new FrameCodec(new MessageRegistry().register(REPORTS_MESSAGE, GossipPacket.class));
+            FrameCodec.forSeveralBuilds(new MessageRegistry().register(REPORTS_MESSAGE, GossipPacket.class));
 
     /**
      * Encodes reports.
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
@@ -62,6 +62,7 @@
     private final FleetView fleet;
     private final GossipSocket socket;
     private final FleetRelay relay = new FleetRelay();
+    private final UnreadableMessages unreadable;
     private HostPhase phase = HostPhase.STARTING;
     private long sequence;
     private int reachableHosts = -1;
@@ -86,6 +87,7 @@
         this.context = context;
         this.fleet = fleet;
         this.socket = socket;
+        this.unreadable = new UnreadableMessages("list of reports", context.metrics());
     }
 
     /**
@@ -281,7 +283,7 @@
         try {
             receive(relay.decode(answer.body()));
         } catch (CodecException e) {
-            Logger.warn("The reports from host {} cannot be decoded: {}.", peer.host(), e.getMessage());
+            unreadable.count(peer.host(), e);
         }
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipSocket.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipSocket.java
@@ -23,6 +23,7 @@
 import org.guavathread.core.registry.DepartureNotice;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.core.stream.StreamOriginNotice;
+import org.guavathread.gateway.log.GatewayMetrics;
 import org.guavathread.router.supervisor.Supervised;
 import org.guavathread.wire.CodecException;
 import org.guavathread.wire.Frame;
@@ -45,7 +46,8 @@
 
     private final SocketAddressText listen;
     private final Consumer<PeerMessage> onMessage;
-    private final FrameCodec codec = new FrameCodec(new MessageRegistry()
+    private final UnreadableMessages unreadable;
+    private final FrameCodec codec = FrameCodec.forSeveralBuilds(new MessageRegistry()
             .register(GOSSIP_MESSAGE, GossipPacket.class)
             .register(STREAM_ORIGIN_MESSAGE, StreamOriginNotice.class)
             .register(DEPARTURE_MESSAGE, DepartureNotice.class));
@@ -57,10 +59,12 @@
      *
      * @param listen address on which datagrams are received
      * @param onMessage receives decoded messages, on a network thread
+     * @param metrics counts datagrams that cannot be decoded
      */
-    public GossipSocket(SocketAddressText listen, Consumer<PeerMessage> onMessage) {
+    public GossipSocket(SocketAddressText listen, Consumer<PeerMessage> onMessage, GatewayMetrics metrics) {
         this.listen = listen;
         this.onMessage = onMessage;
+        this.unreadable = new UnreadableMessages("gossip packet", metrics);
         this.transport = UDPNIOTransportBuilder.newInstance()
                 .setIOStrategy(SameThreadIOStrategy.getInstance())
                 .setSelectorRunnersCount(1)
@@ -141,7 +145,7 @@
             try {
                 onMessage.accept(decode(bytes));
             } catch (CodecException e) {
-                Logger.warn("A gossip packet from {} cannot be decoded: {}.", ctx.getAddress(), e.getMessage());
+                unreadable.count(ctx.getAddress(), e);
             }
             return ctx.getStopAction();
         }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/OriginDirectory.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/OriginDirectory.java
@@ -56,6 +56,7 @@
     private final RunSurvey survey;
     private final StreamOrigins origins = new StreamOrigins();
     private final OriginRelay relay = new OriginRelay();
+    private final UnreadableMessages unreadable;
     private long startedAgainAtMillis = NEVER;
 
     /**
@@ -81,6 +82,7 @@
         this.socket = socket;
         this.history = history;
         this.survey = new RunSurvey(context, this::isRunning, storeWord, isAssigned);
+        this.unreadable = new UnreadableMessages("stream's origin", context.metrics());
     }
 
     /** Asks the engines which streams they are running, as this host remembers none. */
@@ -225,7 +227,7 @@
             try {
                 return relay.decode(answer.body()).version();
             } catch (CodecException e) {
-                Logger.warn("The origin of a stream from host {} cannot be decoded: {}.", peer.host(), e.getMessage());
+                unreadable.count(peer.host(), e);
                 return Optional.empty();
             }
         }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/OriginRelay.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/OriginRelay.java
@@ -22,7 +22,8 @@
     /** Request timeout: a host that answers does so within milliseconds, and the caller waits. */
     private static final long TIMEOUT_MILLIS = 250;
 
-    private final FrameCodec codec = new FrameCodec(new MessageRegistry().register(ORIGIN_MESSAGE, Origin.class));
+    private final FrameCodec codec =
+            FrameCodec.forSeveralBuilds(new MessageRegistry().register(ORIGIN_MESSAGE, Origin.class));
 
     /**
      * Answer of a host.
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/PermitClient.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/PermitClient.java
@@ -25,6 +25,7 @@
     private final GatewayContext context;
     private final FleetView fleet;
     private final PermitRelay relay = new PermitRelay();
+    private final UnreadableMessages unreadable;
 
     /**
      * Creates a client.
@@ -37,6 +38,7 @@
         this.self = self;
         this.context = context;
         this.fleet = fleet;
+        this.unreadable = new UnreadableMessages("permit", context.metrics());
     }
 
     @Override
@@ -75,7 +77,7 @@
         try {
             return relay.decode(answer.body()).roomInMillis();
         } catch (CodecException e) {
-            Logger.warn("The permit of host {} cannot be decoded: {}.", peer.host(), e.getMessage());
+            unreadable.count(peer.host(), e);
             return OWNER_SILENT_MILLIS;
         }
     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/PermitRelay.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/PermitRelay.java
@@ -27,7 +27,8 @@
     /** Request timeout: a request that waits longer would miss its target at any server. */
     private static final long TIMEOUT_MILLIS = 200;
 
-    private final FrameCodec codec = new FrameCodec(new MessageRegistry().register(GRANT_MESSAGE, Grant.class));
+    private final FrameCodec codec =
+            FrameCodec.forSeveralBuilds(new MessageRegistry().register(GRANT_MESSAGE, Grant.class));
 
     /**
      * Answer of the owner.
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateRelay.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateRelay.java
@@ -33,7 +33,7 @@
     private static final long TIMEOUT_MILLIS = 800;
 
     private final FrameCodec codec =
-            new FrameCodec(new MessageRegistry().register(SNAPSHOT_MESSAGE, StateSnapshot.class));
+            FrameCodec.forSeveralBuilds(new MessageRegistry().register(SNAPSHOT_MESSAGE, StateSnapshot.class));
 
     /**
      * What the asking host knows.
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
@@ -34,6 +34,7 @@
     private final StoreFollower follower;
     private final StartSynchronisation start;
     private final StateRelay relay = new StateRelay();
+    private final UnreadableMessages unreadable;
     private final List<Runnable> heldUntilStarted = new ArrayList<>();
     private boolean storeAsked;
 
@@ -60,6 +61,7 @@
         this.follower = follower;
         this.start = start;
         this.onChange = onChange;
+        this.unreadable = new UnreadableMessages("published state", context.metrics());
     }
 
     /** Expires registry entries and makes the store and peer calls that are due. */
@@ -242,7 +244,7 @@
             applyOnceStarted(() -> handleChanges(
                     relay.apply(snapshot, context.state(), context.loop().nowMillis()), "host " + peer));
         } catch (CodecException e) {
-            Logger.warn("The published state from host {} cannot be decoded: {}.", peer, e.getMessage());
+            unreadable.count(peer, e);
         }
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/log/GatewayMetrics.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/log/GatewayMetrics.java
@@ -47,6 +47,11 @@
             .help("Answers in which backend servers said that they leave or asked for a pause.")
             .labelNames("notice")
             .register(registry);
+    private final Counter unreadableMessages = Counter.builder()
+            .name("guavathread_unreadable_messages_total")
+            .help("Messages of other hosts that cannot be read, by whether their type is unknown.")
+            .labelNames("reason")
+            .register(registry);
     private final Histogram firstByte = Histogram.builder()
             .name("guavathread_first_byte_seconds")
             .help("Time from the arrival of a request to the first byte of its answer.")
@@ -130,6 +135,15 @@
         serverNotices.labelValues(notice).inc();
     }
 
+    /**
+     * Counts a message of another host that cannot be read.
+     *
+     * @param reason {@code "unknown"} or {@code "malformed"}
+     */
+    public void unreadableMessage(String reason) {
+        unreadableMessages.labelValues(reason).inc();
+    }
+
     /**
      * Adds a gauge.
      *
--- a/guavathread-gateway/src/test/java/org/guavathread/gateway/fleet/MessageFormatTest.java
+++ b/guavathread-gateway/src/test/java/org/guavathread/gateway/fleet/MessageFormatTest.java
@@ -23,6 +23,7 @@
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.core.stream.StreamOriginNotice;
 import org.guavathread.core.stream.StreamOrigins;
+import org.guavathread.gateway.log.GatewayMetrics;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
@@ -90,7 +91,7 @@
                     + "a892a931302e312e302e3337cd1e3ca85354415254494e4792000000900100a44e4f4e4590909090c29193ffce000111"
                     + "70a74c454156494e47";
 
-    private final GossipSocket socket = new GossipSocket(ADDRESS, message -> {});
+    private final GossipSocket socket = new GossipSocket(ADDRESS, message -> {}, new GatewayMetrics());
 
     private static void assertFormat(String hex, byte[] bytes) {
         assertEquals(hex, HexFormat.of().formatHex(bytes));
@@ -106,6 +107,15 @@
         assertDatagram(PACKET_HEX, PACKET);
     }
 
+    /** The report has one more field, as later builds may send it. */
+    @Test
+    void gossipPacketOfALaterBuild() {
+        String longer = PACKET_HEX
+                .replace("dc0012a6656467652d31", "dc0013a6656467652d31")
+                .replace("accfac391dc", "accfac3" + "920193c0c2a161" + "91dc");
+        assertEquals(PACKET, socket.decode(HexFormat.of().parseHex(longer)));
+    }
+
     @Test
     void streamOrigin() {
         assertDatagram(
--- a/guavathread-wire/src/main/java/org/guavathread/wire/FrameCodec.java
+++ b/guavathread-wire/src/main/java/org/guavathread/wire/FrameCodec.java
@@ -21,15 +21,35 @@
     /** Maximum size of a frame without its length prefix, in bytes; a larger frame is a fault of the sender. */
     public static final int MAX_FRAME_BYTES = 256 * 1024;
 
+    private static final int FRAME_FIELDS = 4;
+
     private final MessageRegistry registry;
+    private final RecordReader reader;
 
     /**
-     * Builds a codec.
+     * Builds a codec for hosts of one build, which refuses records with other fields.
      *
      * @param registry the known message types
      */
     public FrameCodec(MessageRegistry registry) {
+        this(registry, RecordReader.EXACT);
+    }
+
+    private FrameCodec(MessageRegistry registry, RecordReader reader) {
         this.registry = registry;
+        this.reader = reader;
+    }
+
+    /**
+     * Builds a codec for hosts of several builds. It skips fields that it does not know, and reads messages of earlier
+     * builds as {@link org.guavathread.core.message.LaterField} and
+     * {@link org.guavathread.core.message.UnknownConstant} say.
+     *
+     * @param registry the known message types
+     * @return the codec
+     */
+    public static FrameCodec forSeveralBuilds(MessageRegistry registry) {
+        return new FrameCodec(registry, RecordReader.TOLERANT);
     }
 
     /**
@@ -42,11 +62,11 @@
     public byte[] encode(Frame frame) {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
             Class<? extends PeerMessage> type = frame.message().getClass();
-            packer.packArrayHeader(4);
+            packer.packArrayHeader(FRAME_FIELDS);
             packer.packInt(registry.numberOf(type));
             packer.packLong(frame.correlation());
             packer.packBoolean(frame.reply());
-            RecordCodec.write(packer, frame.message(), type);
+            RecordWriter.write(packer, frame.message(), type);
             byte[] bytes = packer.toByteArray();
             if (bytes.length > MAX_FRAME_BYTES) {
                 throw new CodecException("A frame with " + type.getSimpleName() + " has " + bytes.length
@@ -63,18 +83,19 @@
      *
      * @param bytes the bytes without the length prefix
      * @return the frame
+     * @throws UnknownMessageException if the type of the message is not registered
      * @throws CodecException if the bytes are not a valid frame, or contain a value that its type rejects
      */
     public Frame decode(byte[] bytes) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
             int fields = unpacker.unpackArrayHeader();
-            if (fields != 4) {
-                throw new CodecException("A frame has " + fields + " fields instead of 4.");
+            if (!reader.accepts(fields, FRAME_FIELDS, FRAME_FIELDS)) {
+                throw new CodecException("A frame has " + fields + " fields instead of " + FRAME_FIELDS + ".");
             }
             Class<? extends PeerMessage> type = registry.typeOf(unpacker.unpackInt());
             long correlation = unpacker.unpackLong();
             boolean reply = unpacker.unpackBoolean();
-            return new Frame(correlation, reply, (PeerMessage) RecordCodec.read(unpacker, type));
+            return new Frame(correlation, reply, (PeerMessage) reader.read(unpacker, type));
         } catch (IOException | MessagePackException | IndexOutOfBoundsException | NegativeArraySizeException e) {
             throw new CodecException("A frame of " + bytes.length + " bytes is malformed: " + e.getMessage(), e);
         }
--- a/guavathread-wire/src/main/java/org/guavathread/wire/MessageRegistry.java
+++ b/guavathread-wire/src/main/java/org/guavathread/wire/MessageRegistry.java
@@ -47,7 +47,7 @@
     Class<? extends PeerMessage> typeOf(int number) {
         Class<? extends PeerMessage> type = typesByNumber.get(number);
         if (type == null) {
-            throw new CodecException("Message number " + number + " is unknown; the peer may run a newer release.");
+            throw new UnknownMessageException(number);
         }
         return type;
     }
