Send reports to each host in the format that it reads

A host now counts the components in the packets of each other host, and writes the last ones only to hosts that have them. The last packet counts, so a host that goes back to its old build is understood from its first packet on. Hosts of this build read longer reports and must not be taken for one that writes short ones: they announce the number that they know as the correlation of the frame, which all builds read and ignore. A host from which nothing has been heard gets the packet in both old formats. isCutOff, which 17 components lack, is false if missing: such a build tries servers itself, and a host that cannot relay says so.

The packet of today's builds is read as before, and written with the announced number.

--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
@@ -8,12 +8,13 @@
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.id.WorkspaceId;
+import org.guavathread.core.message.LaterField;
 import org.guavathread.core.publish.StorePosition;
 import org.guavathread.core.sheet.SocketAddressText;
 
 /**
  * State of a host as it reports it to the others. Each report replaces the earlier ones of the same host, so any of
- * them may be lost.
+ * them may be lost. Hosts of builds without a later component get reports without it.
  *
  * @param host the host
  * @param incarnation start time of its process, in milliseconds since the epoch by its own clock
@@ -52,7 +53,7 @@
         List<BackendServerId> unreachable,
         List<CrashEvidence> crashed,
         List<StatedLimit> limits,
-        boolean isCutOff) {
+        @LaterField("false") boolean isCutOff) {
 
     /** Copies the collections. */
     public HostReport {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
@@ -1,7 +1,9 @@
 package org.guavathread.gateway.fleet;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 import org.guavathread.core.dispatch.WaitingRank;
 import org.guavathread.core.gossip.FleetView;
@@ -148,7 +150,7 @@
      * @param peer another host's peer address
      */
     public void announceTo(SocketAddressText peer) {
-        socket.send(peer, encodePacket(context.loop().nowMillis()));
+        sendPacket(List.of(peer), context.loop().nowMillis());
     }
 
     /** Reports a load change before the next periodic report if requests are waiting at any host. */
@@ -249,9 +251,8 @@
         sumReports(now);
         logReachableHosts(fleet.reachableHosts(now).size());
         logBlamedTraits(context.crashSuspects().blamedCount());
-        byte[] bytes = encodePacket(now);
         List<SocketAddressText> receivers = fleet.receivers(identity.peers());
-        receivers.forEach(to -> socket.send(to, bytes));
+        sendPacket(receivers, now);
         sendDepartures(receivers, now);
         fleet.nextSyncSource(now).ifPresent(this::requestReports);
     }
@@ -320,25 +321,36 @@
         }
     }
 
-    /** Encodes this host's report, heartbeats, and as many other reports as fit into one datagram. */
-    private byte[] encodePacket(long nowMillis) {
+    /** Sends this host's report, heartbeats, and as many other reports as fit into one datagram. */
+    private void sendPacket(List<SocketAddressText> receivers, long nowMillis) {
         HostReport own = ownReport(nowMillis);
         List<HostHeartbeat> heartbeats = fleet.heartbeatsToForward(MAX_HEARTBEATS, nowMillis);
         // Reports of one moment are about equally long, so what fitted last time is a good first guess.
         forwardedReports = Math.min(MAX_FORWARDED_REPORTS, forwardedReports + 1);
         List<HostReport> others = fleet.reportsToForward(forwardedReports, nowMillis);
-        byte[] bytes = socket.encode(new GossipPacket(own, others, heartbeats));
+        byte[] bytes = encode(own, others, heartbeats);
         while (bytes.length > GossipSocket.MAX_DATAGRAM_BYTES && !others.isEmpty()) {
             others = others.subList(0, others.size() - 1);
-            bytes = socket.encode(new GossipPacket(own, others, heartbeats));
+            bytes = encode(own, others, heartbeats);
         }
         forwardedReports = others.size();
         fleet.markForwarded(others);
         while (bytes.length > GossipSocket.MAX_DATAGRAM_BYTES && !heartbeats.isEmpty()) {
             heartbeats = heartbeats.subList(0, heartbeats.size() / 2);
-            bytes = socket.encode(new GossipPacket(own, others, heartbeats));
+            bytes = encode(own, others, heartbeats);
         }
-        return bytes;
+        GossipPacket packet = new GossipPacket(own, others, heartbeats);
+        Map<Integer, byte[]> byFields = new HashMap<>();
+        byFields.put(ReportFormats.OWN_FIELDS, bytes);
+        for (SocketAddressText to : receivers) {
+            for (int fields : socket.fieldsFor(to)) {
+                socket.send(to, byFields.computeIfAbsent(fields, f -> socket.encode(packet, f)));
+            }
+        }
+    }
+
+    private byte[] encode(HostReport own, List<HostReport> others, List<HostHeartbeat> heartbeats) {
+        return socket.encode(new GossipPacket(own, others, heartbeats), ReportFormats.OWN_FIELDS);
     }
 
     private HostReport ownReport(long nowMillis) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipSocket.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipSocket.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.util.List;
 import java.util.function.Consumer;
 
 import org.glassfish.grizzly.Buffer;
@@ -19,6 +20,7 @@
 import org.glassfish.grizzly.nio.transport.UDPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import org.guavathread.core.gossip.GossipPacket;
+import org.guavathread.core.gossip.HostReport;
 import org.guavathread.core.message.PeerMessage;
 import org.guavathread.core.registry.DepartureNotice;
 import org.guavathread.core.sheet.SocketAddressText;
@@ -51,6 +53,7 @@
             .register(GOSSIP_MESSAGE, GossipPacket.class)
             .register(STREAM_ORIGIN_MESSAGE, StreamOriginNotice.class)
             .register(DEPARTURE_MESSAGE, DepartureNotice.class));
+    private final ReportFormats formats = new ReportFormats();
     private final UDPNIOTransport transport;
     private Connection<SocketAddress> socket;
 
@@ -85,6 +88,27 @@
         return codec.encode(new Frame(0, false, message));
     }
 
+    /**
+     * Encodes a packet with reports of a number of components.
+     *
+     * @param packet the packet
+     * @param fields number of components
+     * @return its bytes
+     */
+    byte[] encode(GossipPacket packet, int fields) {
+        return codec.encode(new Frame(ReportFormats.OWN_FIELDS, false, packet), HostReport.class, fields);
+    }
+
+    /**
+     * Returns the formats in which a host gets reports.
+     *
+     * @param host address of the host
+     * @return numbers of components
+     */
+    List<Integer> fieldsFor(SocketAddressText host) {
+        return formats.fieldsFor(host);
+    }
+
     /**
      * Decodes a message.
      *
@@ -93,7 +117,11 @@
      * @throws CodecException if the bytes are no message
      */
     PeerMessage decode(byte[] bytes) {
-        return codec.decode(bytes).message();
+        Frame frame = codec.decode(bytes);
+        if (frame.message() instanceof GossipPacket packet) {
+            formats.received(packet.own().peers(), frame.correlation(), bytes);
+        }
+        return frame.message();
     }
 
     /**
--- a/guavathread-gateway/src/test/java/org/guavathread/gateway/fleet/MessageFormatTest.java
+++ b/guavathread-gateway/src/test/java/org/guavathread/gateway/fleet/MessageFormatTest.java
@@ -24,10 +24,13 @@
 import org.guavathread.core.stream.StreamOriginNotice;
 import org.guavathread.core.stream.StreamOrigins;
 import org.guavathread.gateway.log.GatewayMetrics;
+import org.guavathread.wire.CodecException;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 /** Guards against a change of the messages that hosts of the builds since 96b7d09 send and read. */
 class MessageFormatTest {
@@ -116,6 +119,36 @@
         assertEquals(PACKET, socket.decode(HexFormat.of().parseHex(longer)));
     }
 
+    /** Hosts of builds before 96b7d09 refuse reports with the last component. */
+    @Test
+    void gossipPacketOfAnEarlierBuild() {
+        String earlier = PACKET_HEX
+                .replace("dc0012", "dc0011")
+                .replace("accfac391dc", "accfa91dc")
+                .replace("a44e4f4e4590909090c2", "a44e4f4e4590909090");
+        GossipPacket read = (GossipPacket) socket.decode(HexFormat.of().parseHex(earlier));
+        assertEquals(IDLE, read.others().get(0));
+        assertFalse(read.own().isCutOff());
+        assertEquals(List.of(17), socket.fieldsFor(ADDRESS));
+        assertFormat(announced(earlier), socket.encode(PACKET, 17));
+    }
+
+    /** The correlation, which hosts of all builds ignore, is the number of components that the sender reads. */
+    private static String announced(String hex) {
+        return hex.replaceFirst("^940100", "940112");
+    }
+
+    @Test
+    void formatOfAHostIsLearnedFromItsLastPacket() {
+        assertEquals(List.of(18, 17), socket.fieldsFor(ADDRESS));
+        socket.decode(HexFormat.of().parseHex(PACKET_HEX));
+        assertEquals(List.of(18), socket.fieldsFor(ADDRESS));
+        socket.decode(socket.encode(PACKET, 17));
+        assertEquals(List.of(18), socket.fieldsFor(ADDRESS));
+        assertFormat(announced(PACKET_HEX), socket.encode(PACKET, 18));
+        assertThrows(CodecException.class, () -> socket.encode(PACKET, 16));
+    }
+
     @Test
     void streamOrigin() {
         assertDatagram(
--- a/guavathread-wire/src/main/java/org/guavathread/wire/FrameCodec.java
+++ b/guavathread-wire/src/main/java/org/guavathread/wire/FrameCodec.java
@@ -60,13 +60,27 @@
      * @throws CodecException if the type is not registered or the frame exceeds {@link #MAX_FRAME_BYTES}
      */
     public byte[] encode(Frame frame) {
+        return encode(frame, Record.class, Integer.MAX_VALUE);
+    }
+
+    /**
+     * Encodes a frame for a host of another build.
+     *
+     * @param frame the frame
+     * @param shortened type of the records in the message that have fewer components there
+     * @param fields number of their first components that are written
+     * @return its bytes
+     * @throws CodecException if the type is not registered, the frame exceeds {@link #MAX_FRAME_BYTES}, or a component
+     *     that every build sends would be left out
+     */
+    public byte[] encode(Frame frame, Class<? extends Record> shortened, int fields) {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
             Class<? extends PeerMessage> type = frame.message().getClass();
             packer.packArrayHeader(FRAME_FIELDS);
             packer.packInt(registry.numberOf(type));
             packer.packLong(frame.correlation());
             packer.packBoolean(frame.reply());
-            RecordWriter.write(packer, frame.message(), type);
+            new RecordWriter(packer, shortened, fields).write(frame.message(), type);
             byte[] bytes = packer.toByteArray();
             if (bytes.length > MAX_FRAME_BYTES) {
                 throw new CodecException("A frame with " + type.getSimpleName() + " has " + bytes.length
--- a/guavathread-wire/src/main/java/org/guavathread/wire/RecordWriter.java
+++ b/guavathread-wire/src/main/java/org/guavathread/wire/RecordWriter.java
@@ -16,48 +16,70 @@
  */
 final class RecordWriter {
 
-    private RecordWriter() {}
+    private final MessagePacker packer;
+    private final Class<?> shortened;
+    private final int fields;
 
-    static void write(MessagePacker packer, Object value, Type type) throws IOException {
+    /**
+     * Creates a writer.
+     *
+     * @param packer receives the bytes
+     * @param shortened type of the records of which only the first components are written
+     * @param fields number of those components
+     */
+    RecordWriter(MessagePacker packer, Class<?> shortened, int fields) {
+        this.packer = packer;
+        this.shortened = shortened;
+        this.fields = fields;
+    }
+
+    void write(Object value, Type type) throws IOException {
         Class<?> raw = RecordLayout.rawClass(type);
         if (raw == Optional.class) {
-            writeOptional(packer, (Optional<?>) value, RecordLayout.typeArgument(type));
+            writeOptional((Optional<?>) value, RecordLayout.typeArgument(type));
         } else if (raw == List.class) {
-            writeList(packer, (List<?>) value, RecordLayout.typeArgument(type));
+            writeList((List<?>) value, RecordLayout.typeArgument(type));
         } else if (raw.isRecord()) {
-            writeRecord(packer, value, raw);
+            writeRecord(value, raw);
         } else {
-            writeScalar(packer, value, raw);
+            writeScalar(value, raw);
         }
     }
 
-    private static void writeOptional(MessagePacker packer, Optional<?> value, Type inner) throws IOException {
+    private void writeOptional(Optional<?> value, Type inner) throws IOException {
         if (value.isEmpty()) {
             packer.packNil();
         } else {
-            write(packer, value.get(), inner);
+            write(value.get(), inner);
         }
     }
 
-    private static void writeList(MessagePacker packer, List<?> values, Type inner) throws IOException {
+    private void writeList(List<?> values, Type inner) throws IOException {
         packer.packArrayHeader(values.size());
         for (Object value : values) {
-            write(packer, value, inner);
+            write(value, inner);
         }
     }
 
-    private static void writeRecord(MessagePacker packer, Object value, Class<?> raw) throws IOException {
+    private void writeRecord(Object value, Class<?> raw) throws IOException {
         RecordLayout layout = RecordLayout.of(raw);
         int size = layout.types().size();
-        if (size != 1) {
+        if (raw == shortened && fields < size) {
+            if (fields < layout.required()) {
+                throw new CodecException(raw.getSimpleName() + " cannot be written with " + fields
+                        + " fields; at least " + layout.required() + " are sent.");
+            }
+            size = fields;
+        }
+        if (layout.types().size() != 1) {
             packer.packArrayHeader(size);
         }
         for (int i = 0; i < size; i++) {
-            write(packer, get(layout.getters().get(i), value), layout.types().get(i));
+            write(get(layout.getters().get(i), value), layout.types().get(i));
         }
     }
 
-    private static void writeScalar(MessagePacker packer, Object value, Class<?> raw) throws IOException {
+    private void writeScalar(Object value, Class<?> raw) throws IOException {
         if (raw == long.class || raw == int.class) {
             packer.packLong(((Number) value).longValue());
         } else if (raw == double.class) {
