--- a/bin/launch.sh
+++ b/bin/launch.sh
@@ -10,7 +10,7 @@
             exit 70
         }
     fi
-    jar="$root/$module/target/$module-0.1.0-SNAPSHOT.jar"
+    jar="$root/$module/target/$(basename "$module")-0.1.0-SNAPSHOT.jar"
     # shellcheck disable=SC2086
     exec java ${JAVA_OPTS:-} -cp "$jar:$(cat "$root/$module/target/runtime.classpath")" "$main_class" "$@"
 }
