Keep a pause for a process that asked for it before its entry stood

A server started again, turned a request away with Retry-After while the host still had the entry of its former process, and registered. The pause was kept for the former process only, so the host sent requests to the server all through it.

Cause: the entry under which a request was sent was taken for the author of the answer.

A pause now concerns every process that had begun when it was stated, by its start time and the difference that clocks may have. A process that began later is not bound. To ask the server is no way here, since it wants nothing from this host in a pause.

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerPauses.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerPauses.java
@@ -21,10 +21,17 @@
  */
 public final class ServerPauses {
 
-    private record Pause(long startedAtMillis, long untilMillis) {
+    /** Maximum difference between the clocks of a host and a server, in milliseconds. */
+    private static final long MAX_CLOCK_DIFFERENCE_MILLIS = 2_000;
+
+    /**
+     * A pause of the process of an entry, or of a later one that had begun when the pause was stated: answers do not tell
+     * which process gave them.
+     */
+    private record Pause(long startedAtMillis, long latestStartMillis, long untilMillis) {
 
         private boolean concerns(Worker server) {
-            return startedAtMillis >= server.startedAtMillis();
+            return latestStartMillis >= server.startedAtMillis();
         }
     }
 
@@ -33,22 +40,29 @@
     /**
      * Records that a server asks for a pause.
      *
-     * @param server the entry of the process that asked
+     * @param server the entry under which the server was asked
      * @param untilMillis the end of the pause
      * @param nowMillis the current time
      */
     public void state(Worker server, long untilMillis, long nowMillis) {
         // A pause outlives the server's entry, which may be missing for a while.
         pauses.values().removeIf(p -> p.untilMillis() <= nowMillis);
-        Pause stated = new Pause(server.startedAtMillis(), untilMillis);
+        long latestStartMillis = Math.max(server.startedAtMillis(), nowMillis + MAX_CLOCK_DIFFERENCE_MILLIS);
+        Pause stated = new Pause(server.startedAtMillis(), latestStartMillis, untilMillis);
         pauses.merge(server.id(), stated, ServerPauses::merge);
     }
 
     private static Pause merge(Pause known, Pause stated) {
-        if (known.startedAtMillis() != stated.startedAtMillis()) {
-            return known.startedAtMillis() > stated.startedAtMillis() ? known : stated;
+        if (stated.startedAtMillis() > known.latestStartMillis()) {
+            return stated;
+        }
+        if (known.startedAtMillis() > stated.latestStartMillis()) {
+            return known;
         }
-        return known.untilMillis() > stated.untilMillis() ? known : stated;
+        return new Pause(
+                Math.max(known.startedAtMillis(), stated.startedAtMillis()),
+                Math.max(known.latestStartMillis(), stated.latestStartMillis()),
+                Math.max(known.untilMillis(), stated.untilMillis()));
     }
 
     /**
