Keep a server's stated limit while its entry is missing

A server that cannot reach the store loses its entry there and gets it back, while hosts reach it all the time. Hosts forgot its limit with the entry, and each sent it whatever callers asked for until its first answer named the limit again.

Cause: a statement was kept for as long as the id was listed, not for as long as its process may live.

A limit now ends with an answer without it, with a process that began after it was stated (by more than the clocks' difference), or ten minutes after the entry has gone. So a new process under the id does not inherit the limit of the former one either.

StatedLimitLoadTest has the end of a limit with its process and with time.

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerLimits.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerLimits.java
@@ -49,6 +49,12 @@
     /** Limits above this are none: all hosts together pass on fewer requests a second. */
     private static final double MAX_LIMIT_PER_SECOND = 8_000;
 
+    /** Time for which a statement outlives the server's entry, which may be missing for a while. */
+    private static final long RETENTION_MILLIS = 600_000;
+
+    /** Maximum difference between the clocks of a host and a server, in milliseconds. */
+    private static final long MAX_CLOCK_DIFFERENCE_MILLIS = 2_000;
+
     /** Time for which a statement is reported to other hosts: the spreading of news in a large fleet. */
     private static final long REPORT_MILLIS = 10_000;
 
@@ -289,14 +295,24 @@
     }
 
     /**
-     * Removes the limits of servers that no longer exist.
+     * Removes what no longer concerns a server: statements of earlier processes under its id, and those of servers whose
+     * entries have been missing for long.
      *
-     * @param present ids of the servers that exist
+     * @param registered entries of the servers that exist
+     * @param nowMillis the current time
      */
-    public void retain(Collection<BackendServerId> present) {
-        own.keySet().retainAll(present);
-        latest.keySet().retainAll(present);
-        windows.keySet().retainAll(present);
-        fullUntilMillis.keySet().retainAll(present);
+    public void retain(Collection<Worker> registered, long nowMillis) {
+        Map<BackendServerId, Long> startsMillis = new HashMap<>();
+        registered.forEach(w -> startsMillis.put(w.id(), w.startedAtMillis()));
+        own.entrySet().removeIf(e -> isOver(e.getValue(), startsMillis.get(e.getKey()), nowMillis));
+        latest.entrySet().removeIf(e -> isOver(e.getValue(), startsMillis.get(e.getKey()), nowMillis));
+        windows.keySet().removeIf(id -> !startsMillis.containsKey(id) && !latest.containsKey(id));
+        fullUntilMillis.keySet().retainAll(latest.keySet());
+    }
+
+    private static boolean isOver(Statement statement, Long startMillis, long nowMillis) {
+        return startMillis == null
+                ? nowMillis - statement.atMillis() >= RETENTION_MILLIS
+                : startMillis > statement.atMillis() + MAX_CLOCK_DIFFERENCE_MILLIS;
     }
 }
--- a/guavathread-core/src/main/java/org/guavathread/core/registry/WorkerRegistry.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/registry/WorkerRegistry.java
@@ -248,6 +248,15 @@
         return Optional.ofNullable(registered.get(id));
     }
 
+    /**
+     * Returns the registered servers, whether they accept new requests or not.
+     *
+     * @return the servers
+     */
+    public List<Worker> registered() {
+        return List.copyOf(registered.values());
+    }
+
     /**
      * Returns the servers that are registered or in their grace period.
      *
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/StatedLimitLoadTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/StatedLimitLoadTest.java
@@ -240,4 +240,37 @@
         assertTrue(limits.ownerOf(SERVER.id()).isEmpty() && hasRoom(1_300));
         assertEquals(List.of(SERVER), limits.withoutLimit(List.of(SERVER)));
     }
+
+    @Test
+    void limitIsForgottenWithItsProcess() {
+        limits.state(SERVER.id(), OptionalDouble.of(1), 5_000);
+        limits.retain(List.of(), 6_000);
+        limits.retain(List.of(startedAt(7_000)), 8_000);
+        assertEquals(OptionalDouble.of(1), limits.limitOf(SERVER.id()), "of a process that may have stated it");
+        limits.retain(List.of(startedAt(7_001)), 8_000);
+        assertEquals(OptionalDouble.empty(), limits.limitOf(SERVER.id()));
+        assertEquals(List.of(), limits.report(8_000));
+    }
+
+    @Test
+    void limitOfAServerThatHasGoneIsForgottenAfterAWhile() {
+        limits.state(SERVER.id(), OptionalDouble.of(1), 5_000);
+        limits.retain(List.of(), 604_999);
+        assertEquals(1, limits.size());
+        limits.retain(List.of(), 605_000);
+        assertEquals(0, limits.size());
+    }
+
+    private static Worker startedAt(long millis) {
+        return new Worker(
+                SERVER.id(),
+                SERVER.service(),
+                SERVER.address(),
+                SERVER.dataCentre(),
+                SERVER.slots(),
+                false,
+                SERVER.stage(),
+                SERVER.softwareVersion(),
+                millis);
+    }
 }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
@@ -269,7 +269,10 @@
         if (!changes.isEmpty()) {
             context.health().retain(context.state().registry().ids());
             context.reach().retain(context.state().registry().ids());
-            context.serverLimits().retain(context.state().registry().ids());
+            context.serverLimits()
+                    .retain(
+                            context.state().registry().registered(),
+                            context.loop().nowMillis());
             context.notices().retain(context.state().registry().ids());
             onChange.run();
         }
