Ask no server that leaves which process it is

A server that had said in its answer that it leaves was asked for its report after the first event of the stream that it served; seen once by LeavingServerTest.engineThatSaysItLeavesGetsNoRequest (one REPORT), which allows no request at all. The store's word decides there, as in a pause.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ProcessCheck.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ProcessCheck.java
@@ -72,7 +72,7 @@
 
     private void send(Worker expected, List<Consumer<Outcome>> asking) {
         long askedAtMillis = context.loop().nowMillis();
-        if (context.pauses().isPaused(expected, askedAtMillis)) {
+        if (context.pauses().isPaused(expected, askedAtMillis) || isLeaving(expected)) {
             askStore(expected, Outcome.LISTED, outcome -> done(expected, outcome, asking));
             return;
         }
@@ -83,6 +83,14 @@
                 failure -> askStore(expected, Outcome.LISTED, outcome -> done(expected, outcome, asking)));
     }
 
+    private boolean isLeaving(Worker server) {
+        return context.state()
+                .registry()
+                .find(server.id())
+                .filter(Worker::draining)
+                .isPresent();
+    }
+
     private void done(Worker expected, Outcome outcome, List<Consumer<Outcome>> asking) {
         List<Consumer<Outcome>> next = waiting.remove(expected);
         if (!next.isEmpty()) {
