Fill the inbox in DutyTest only once the duty is running

Trace: the test offers a task that blocks, fills the inbox and asks once more. If the duty's thread takes the first task only after the inbox was filled, a place becomes free, and the last question is accepted; nothing is thrown. The test now waits until the blocking task runs; its checks are unchanged. No fault of Duty.

--- a/guavathread-router/src/test/java/org/guavathread/router/supervisor/DutyTest.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/supervisor/DutyTest.java
@@ -57,10 +57,16 @@
     }
 
     @Test
-    void fullInboxRejectsTasksInsteadOfBlocking() {
+    void fullInboxRejectsTasksInsteadOfBlocking() throws InterruptedException {
         supervisor.start();
+        CountDownLatch running = new CountDownLatch(1);
         CountDownLatch release = new CountDownLatch(1);
-        duty.offer(list -> awaitQuietly(release));
+        duty.offer(list -> {
+            running.countDown();
+            awaitQuietly(release);
+        });
+        // The task leaves the inbox only when it begins to run.
+        assertTrue(running.await(10, TimeUnit.SECONDS), "the duty does not run");
         int accepted = 0;
         while (accepted <= 2 * Duty.INBOX_CAPACITY && duty.offer(List::size)) {
             accepted++;
