Ask the store for a silent server's process at the time from which its word counts

streamGoesOnWhenItsServerFallsSilentAfterTheFirstEvent failed in 1 of 4 runs beside load: the origin was settled 2.1 s after the first event, since the server was asked once more at 1.5 s and the question timed out 0.6 s later, and the stall was looked at every 500 ms only; the caller waits 2.5 s.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ProcessCheck.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ProcessCheck.java
@@ -70,17 +70,22 @@
         send(expected, List.of(onDone));
     }
 
+    /** Asks the store alone, for an engine that does not answer. */
+    void askStore(Worker expected, Consumer<Outcome> onDone) {
+        askStore(expected, Outcome.LISTED, onDone);
+    }
+
     private void send(Worker expected, List<Consumer<Outcome>> asking) {
         long askedAtMillis = context.loop().nowMillis();
         if (context.pauses().isPaused(expected, askedAtMillis) || isLeaving(expected)) {
-            askStore(expected, Outcome.LISTED, outcome -> done(expected, outcome, asking));
+            askStore(expected, outcome -> done(expected, outcome, asking));
             return;
         }
         backendClient.send(
                 expected,
                 context.backendProtocol().report(expected, askedAtMillis + TIMEOUT_MILLIS),
                 answer -> answered(expected, askedAtMillis, answer, outcome -> done(expected, outcome, asking)),
-                failure -> askStore(expected, Outcome.LISTED, outcome -> done(expected, outcome, asking)));
+                failure -> askStore(expected, outcome -> done(expected, outcome, asking)));
     }
 
     private boolean isLeaving(Worker server) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StallWatch.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StallWatch.java
@@ -9,7 +9,7 @@
 final class StallWatch {
 
     /** Delay before another engine is looked for again. */
-    private static final long RETRY_MILLIS = 500;
+    private static final long RETRY_MILLIS = 250;
 
     private final EventLoop loop;
     private final StreamProgress progress;
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamOrigin.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamOrigin.java
@@ -71,36 +71,37 @@
 
     private void ask() {
         questions++;
-        processCheck.ask(server, outcome -> {
-            if (!isAsking) {
-                return;
-            }
-            boolean isOld = context.loop().nowMillis() >= firstEventAtMillis + ENTRY_DELAY_MILLIS;
-            if (outcome == ProcessCheck.Outcome.SAME || outcome == ProcessCheck.Outcome.LISTED && isOld) {
-                known(server.softwareVersion());
-            } else if (outcome == ProcessCheck.Outcome.OTHER) {
-                otherAnswered();
-            } else if (questions < MAX_QUESTIONS) {
-                retry(outcome == ProcessCheck.Outcome.LISTED);
-            } else {
-                settle(Optional.empty());
-            }
-        });
+        processCheck.ask(server, this::answered);
     }
 
-    /** Asks again later, but not before the store's word counts if that is all that there is. */
-    private void retry(boolean isListed) {
-        long now = context.loop().nowMillis();
-        long retryAtMillis = now + (FIRST_RETRY_MILLIS << (questions - 1));
-        long entryAtMillis = firstEventAtMillis + ENTRY_DELAY_MILLIS;
-        context.loop()
-                .schedule(
-                        isListed && now < entryAtMillis ? Math.min(retryAtMillis, entryAtMillis) : retryAtMillis,
-                        () -> {
-                            if (isAsking) {
-                                ask();
-                            }
-                        });
+    private void answered(ProcessCheck.Outcome outcome) {
+        if (!isAsking) {
+            return;
+        }
+        boolean isListed = outcome == ProcessCheck.Outcome.LISTED;
+        if (outcome == ProcessCheck.Outcome.SAME || isListed && context.loop().nowMillis() >= entryAtMillis()) {
+            known(server.softwareVersion());
+        } else if (outcome == ProcessCheck.Outcome.OTHER) {
+            otherAnswered();
+        } else if (questions < MAX_QUESTIONS) {
+            askLater(isListed);
+        } else {
+            settle(Optional.empty());
+        }
+    }
+
+    /** Asks the server again later, or the store as soon as its word counts, if that is all that there is. */
+    private void askLater(boolean isListed) {
+        long retryAtMillis = context.loop().nowMillis() + (FIRST_RETRY_MILLIS << (questions - 1));
+        if (isListed && retryAtMillis >= entryAtMillis()) {
+            context.loop().schedule(entryAtMillis(), () -> processCheck.askStore(server, this::answered));
+        } else {
+            context.loop().schedule(retryAtMillis, this::ask);
+        }
+    }
+
+    private long entryAtMillis() {
+        return firstEventAtMillis + ENTRY_DELAY_MILLIS;
     }
 
     private void known(SoftwareVersion version) {
