Decode priorities, home regions and the terms of cold servers

Cause: the platform publishes a priority of routes and workspaces, the regions that their requests may reach, and what cold servers take; nothing decoded them, so the parts that need them could not be written side by side. Change: RouteRule and WorkspaceTerms have builders and carry Priority and HomeRegions; ServiceTerms carries ColdTerms. Nothing reads them yet, so no decision changes.

--- a/guavathread-core/src/main/java/org/guavathread/core/routing/RouteRule.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/routing/RouteRule.java
@@ -18,6 +18,8 @@
  * @param maxRuns maximum number of backend servers that may run one request
  * @param open whether it accepts callers without an API key
  * @param resumable whether its streams can be resumed on another backend server
+ * @param priority its priority, unless the workspace has one
+ * @param homes the regions that its requests may reach
  */
 public record RouteRule(
         RouteId id,
@@ -30,7 +32,9 @@
         List<Target> targets,
         int maxRuns,
         boolean open,
-        boolean resumable) {
+        boolean resumable,
+        Priority priority,
+        HomeRegions homes) {
 
     /** Copies the targets. */
     public RouteRule {
@@ -71,4 +75,156 @@
         }
         return targets.get(targets.size() - 1).service();
     }
+
+    /**
+     * Returns a builder.
+     *
+     * @param id name of the route
+     * @param kind execution guarantee and response mode of its requests
+     * @return the builder
+     */
+    public static Builder builder(RouteId id, CallKind kind) {
+        return new Builder(id, kind);
+    }
+
+    /** Builds a route. */
+    public static final class Builder {
+
+        private static final long DEFAULT_MILLIS = 1_000;
+
+        private final RouteId id;
+        private final CallKind kind;
+        private String host = "";
+        private String prefix = "/";
+        private long timeoutMillis = DEFAULT_MILLIS;
+        private long targetMillis = DEFAULT_MILLIS;
+        private long maxPauseMillis = DEFAULT_MILLIS;
+        private List<Target> targets = List.of();
+        private int maxRuns = 1;
+        private boolean open;
+        private boolean resumable;
+        private Priority priority = Priority.DEFAULT;
+        private HomeRegions homes = HomeRegions.ANY;
+
+        private Builder(RouteId id, CallKind kind) {
+            this.id = id;
+            this.kind = kind;
+        }
+
+        /**
+         * Sets which requests the route matches.
+         *
+         * @param host value of the {@code Host} header
+         * @param prefix prefix of the paths
+         * @return this builder
+         */
+        public Builder matches(String host, String prefix) {
+            this.host = host;
+            this.prefix = prefix;
+            return this;
+        }
+
+        /**
+         * Sets the time limits.
+         *
+         * @param timeoutMillis timeout of a request
+         * @param targetMillis latency target
+         * @param maxPauseMillis target for the longest gap between two events
+         * @return this builder
+         */
+        public Builder times(long timeoutMillis, long targetMillis, long maxPauseMillis) {
+            this.timeoutMillis = timeoutMillis;
+            this.targetMillis = targetMillis;
+            this.maxPauseMillis = maxPauseMillis;
+            return this;
+        }
+
+        /**
+         * Sets the services.
+         *
+         * @param targets the services with their weights
+         * @return this builder
+         */
+        public Builder targets(List<Target> targets) {
+            this.targets = targets;
+            return this;
+        }
+
+        /**
+         * Sets the maximum number of backend servers that may run one request.
+         *
+         * @param maxRuns the number
+         * @return this builder
+         */
+        public Builder maxRuns(int maxRuns) {
+            this.maxRuns = maxRuns;
+            return this;
+        }
+
+        /**
+         * Sets whether the route accepts callers without an API key.
+         *
+         * @param open true if it does
+         * @return this builder
+         */
+        public Builder open(boolean open) {
+            this.open = open;
+            return this;
+        }
+
+        /**
+         * Sets whether streams can be resumed on another backend server.
+         *
+         * @param resumable true if they can
+         * @return this builder
+         */
+        public Builder resumable(boolean resumable) {
+            this.resumable = resumable;
+            return this;
+        }
+
+        /**
+         * Sets the priority.
+         *
+         * @param priority the priority
+         * @return this builder
+         */
+        public Builder priority(Priority priority) {
+            this.priority = priority;
+            return this;
+        }
+
+        /**
+         * Sets the regions that requests may reach.
+         *
+         * @param homes the regions
+         * @return this builder
+         */
+        public Builder homes(HomeRegions homes) {
+            this.homes = homes;
+            return this;
+        }
+
+        /**
+         * Builds the route.
+         *
+         * @return the route
+         */
+        public RouteRule build() {
+            return new RouteRule(
+                    id,
+                    host,
+                    prefix,
+                    kind,
+                    timeoutMillis,
+                    targetMillis,
+                    maxPauseMillis,
+                    targets,
+                    maxRuns,
+                    open,
+                    resumable,
+                    priority,
+                    homes);
+        }
+    }
 }
--- a/guavathread-core/src/main/java/org/guavathread/core/routing/ServiceTerms.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/routing/ServiceTerms.java
@@ -7,8 +7,17 @@
  *
  * @param name the service
  * @param engine limits of its backend servers if they are engines
+ * @param cold what its servers take after their start; empty if they are never cold
  */
-public record ServiceTerms(ServiceName name, Optional<EngineTerms> engine) {
+public record ServiceTerms(ServiceName name, Optional<EngineTerms> engine, Optional<ColdTerms> cold) {
+
+    /**
+     * What a cold server takes.
+     *
+     * @param coldMillis time for which a server is cold after its start, in milliseconds
+     * @param requestsPerSecond requests a second that a cold server takes from all hosts together
+     */
+    public record ColdTerms(long coldMillis, double requestsPerSecond) {}
 
     /**
      * Limits of an engine.
--- a/guavathread-core/src/main/java/org/guavathread/core/routing/WorkspaceTerms.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/routing/WorkspaceTerms.java
@@ -1,5 +1,6 @@
 package org.guavathread.core.routing;
 
+import java.util.Optional;
 import java.util.Set;
 
 import org.guavathread.core.id.WorkspaceId;
@@ -13,6 +14,8 @@
  * @param burstUnits capacity of its token bucket
  * @param countsTokens whether a unit is a token rather than a request
  * @param defaultTokens charge of a request without a token count, in tokens
+ * @param priority priority of its requests, which goes before that of their routes; empty if it has none
+ * @param homes the regions that its requests may reach
  */
 public record WorkspaceTerms(
         WorkspaceId id,
@@ -20,7 +23,9 @@
         double unitsPerSecond,
         double burstUnits,
         boolean countsTokens,
-        int defaultTokens) {
+        int defaultTokens,
+        Optional<Priority> priority,
+        HomeRegions homes) {
 
     /** Copies the keys. */
     public WorkspaceTerms {
@@ -48,4 +53,99 @@
         }
         return tokens > 0 ? tokens : defaultTokens;
     }
+
+    /**
+     * Returns a builder of a workspace without a limit.
+     *
+     * @param id the workspace
+     * @return the builder
+     */
+    public static Builder builder(WorkspaceId id) {
+        return new Builder(id);
+    }
+
+    /** Builds the settings of a workspace. */
+    public static final class Builder {
+
+        private final WorkspaceId id;
+        private Set<String> apiKeys = Set.of();
+        private double unitsPerSecond;
+        private double burstUnits;
+        private boolean countsTokens;
+        private int defaultTokens = 1;
+        private Optional<Priority> priority = Optional.empty();
+        private HomeRegions homes = HomeRegions.ANY;
+
+        private Builder(WorkspaceId id) {
+            this.id = id;
+        }
+
+        /**
+         * Sets the API keys.
+         *
+         * @param apiKeys the keys that are in force
+         * @return this builder
+         */
+        public Builder apiKeys(Set<String> apiKeys) {
+            this.apiKeys = apiKeys;
+            return this;
+        }
+
+        /**
+         * Sets the limit.
+         *
+         * @param unitsPerSecond refill rate of the token bucket; 0 means no limit
+         * @param burstUnits capacity of the token bucket
+         * @return this builder
+         */
+        public Builder limit(double unitsPerSecond, double burstUnits) {
+            this.unitsPerSecond = unitsPerSecond;
+            this.burstUnits = burstUnits;
+            return this;
+        }
+
+        /**
+         * Sets that a unit is a token.
+         *
+         * @param defaultTokens charge of a request without a token count, in tokens
+         * @return this builder
+         */
+        public Builder countsTokens(int defaultTokens) {
+            this.countsTokens = true;
+            this.defaultTokens = defaultTokens;
+            return this;
+        }
+
+        /**
+         * Sets the priority.
+         *
+         * @param priority the priority, or empty if that of the routes holds
+         * @return this builder
+         */
+        public Builder priority(Optional<Priority> priority) {
+            this.priority = priority;
+            return this;
+        }
+
+        /**
+         * Sets the regions that requests may reach.
+         *
+         * @param homes the regions
+         * @return this builder
+         */
+        public Builder homes(HomeRegions homes) {
+            this.homes = homes;
+            return this;
+        }
+
+        /**
+         * Builds the settings.
+         *
+         * @return the settings
+         */
+        public WorkspaceTerms build() {
+            return new WorkspaceTerms(
+                    id, apiKeys, unitsPerSecond, burstUnits, countsTokens, defaultTokens, priority, homes);
+        }
+    }
 }
--- a/guavathread-core/src/test/java/org/guavathread/core/routing/RoutingTableTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/routing/RoutingTableTest.java
@@ -16,22 +16,20 @@
     private final RoutingTable table = RoutingTable.builder(7)
             .route(rule("short", "/a/"))
             .route(rule("long", "/a/b/"))
-            .workspace(new WorkspaceTerms(new WorkspaceId("w"), Set.of("key"), 10, 10, true, 200))
+            .workspace(WorkspaceTerms.builder(new WorkspaceId("w"))
+                    .apiKeys(Set.of("key"))
+                    .limit(10, 10)
+                    .countsTokens(200)
+                    .build())
             .build();
 
     private static RouteRule rule(String name, String prefix) {
-        return new RouteRule(
-                new RouteId(name),
-                "shop.example",
-                prefix,
-                CallKind.IDEMPOTENT,
-                600,
-                100,
-                300,
-                List.of(new RouteRule.Target(new ServiceName("s"), 1)),
-                2,
-                false,
-                false);
+        return RouteRule.builder(new RouteId(name), CallKind.IDEMPOTENT)
+                .matches("shop.example", prefix)
+                .times(600, 100, 300)
+                .targets(List.of(new RouteRule.Target(new ServiceName("s"), 1)))
+                .maxRuns(2)
+                .build();
     }
 
     private String routeOf(String host, String path) {
@@ -69,20 +67,13 @@
 
     @Test
     void servicesAreSelectedByWeight() {
-        RouteRule split = new RouteRule(
-                new RouteId("split"),
-                "h",
-                "/",
-                CallKind.STREAM,
-                1,
-                1,
-                1,
-                List.of(
+        RouteRule split = RouteRule.builder(new RouteId("split"), CallKind.STREAM)
+                .matches("h", "/")
+                .targets(List.of(
                         new RouteRule.Target(new ServiceName("most"), 90),
-                        new RouteRule.Target(new ServiceName("few"), 10)),
-                1,
-                false,
-                true);
+                        new RouteRule.Target(new ServiceName("few"), 10)))
+                .resumable(true)
+                .build();
         assertEquals("most", split.pick(0.0).value());
         assertEquals("most", split.pick(0.89).value());
         assertEquals("few", split.pick(0.91).value());
--- a/guavathread-core/src/test/java/org/guavathread/core/share/SharedLimitsProperties.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/share/SharedLimitsProperties.java
@@ -29,8 +29,11 @@
     private static final double SLACK = 190_000;
     private static final long WINDOW_MILLIS = 8_000;
     private static final long REPORT_MILLIS = 500;
-    private static final WorkspaceTerms TERMS =
-            new WorkspaceTerms(new WorkspaceId("w"), Set.of("k"), RATE, BURST, true, 200);
+    private static final WorkspaceTerms TERMS = WorkspaceTerms.builder(new WorkspaceId("w"))
+            .apiKeys(Set.of("k"))
+            .limit(RATE, BURST)
+            .countsTokens(200)
+            .build();
 
     private record Admission(long atMillis, double units) {}
 
