Name hosts in entry answers in proportion to their capacity

Cause: answers named all hosts alike, though the users' hosts have from a quarter of a core to 1.5 cores; and in a fleet of more than 64 hosts every host named the same 64 (own data centre first, then the same hash order). Change: EntrySelection names each host with a probability in proportion to its capacity, by a hash of both names, so that answers stay as they are from one to the next. Hosts report their capacity in a later field of HostReport, taken from the limits of the settings. Hosts of one size in a fleet of up to 64 are all named, as before. FleetView gives hosts in place of addresses (the order by data centre is gone).

--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
@@ -15,7 +15,6 @@
 
 import org.guavathread.core.dispatch.WaitingRank;
 import org.guavathread.core.id.BackendServerId;
-import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.publish.StorePosition;
 import org.guavathread.core.sheet.SocketAddressText;
@@ -333,23 +332,20 @@
     }
 
     /**
-     * Returns the addresses, other than this host's, to which callers may connect. Hosts that are cut off from servers are
-     * named only if no host is known that is not.
+     * Returns the hosts, other than this one, to which callers may connect. Hosts that are cut off from servers are among
+     * them only if no host is known that is not.
      *
-     * @param dataCentre the caller's data centre
      * @param isCutOff whether this host is cut off itself
      * @param nowMillis the current time
-     * @return addresses of ready reachable hosts, those in the caller's data centre first
+     * @return the latest reports of ready reachable hosts
      */
-    public List<SocketAddressText> callerAddresses(DataCentreId dataCentre, boolean isCutOff, long nowMillis) {
+    public List<HostReport> hostsForCallers(boolean isCutOff, long nowMillis) {
         List<HostReport> ready = new ArrayList<>(reachableHosts(nowMillis));
         ready.removeIf(r -> !r.phase().takesCallers());
         if (!isCutOff || anyReachesServers(nowMillis)) {
             ready.removeIf(HostReport::isCutOff);
         }
-        ready.sort((a, b) -> Boolean.compare(
-                !a.dataCentre().equals(dataCentre), !b.dataCentre().equals(dataCentre)));
-        return ready.stream().map(HostReport::callers).toList();
+        return ready;
     }
 
     /**
--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
@@ -34,6 +34,7 @@
  * @param crashed evidence of requests that crash backend servers, its own and what it learned from other hosts
  * @param limits limits that backend servers stated in their answers to this host
  * @param isCutOff whether it cannot connect to any backend server
+ * @param capacity what its processor can do, in thousandths of a core; 0 if not known
  */
 public record HostReport(
         HostId host,
@@ -53,7 +54,8 @@
         List<BackendServerId> unreachable,
         List<CrashEvidence> crashed,
         List<StatedLimit> limits,
-        @LaterField("false") boolean isCutOff) {
+        @LaterField("false") boolean isCutOff,
+        @LaterField("0") int capacity) {
 
     /** Copies the collections. */
     public HostReport {
@@ -138,7 +140,8 @@
                 unreachable,
                 crashed,
                 limits,
-                isCutOff);
+                isCutOff,
+                capacity);
     }
 
     /**
--- a/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
@@ -105,7 +105,8 @@
                     List.of(),
                     List.of(),
                     List.of(),
-                    false);
+                    false,
+                    0);
         }
 
         FleetView view(int number) {
@@ -189,11 +190,11 @@
         assertEquals(List.of(), view.reachableHosts(100), "a heartbeat does not identify an unknown host");
         view.apply(first, 100);
         view.apply(new HostHeartbeat(process(50), second.sequence() + 5, HostPhase.LEAVING), OTHER, 300);
-        assertEquals(List.of(), view.callerAddresses(HERE, false, 300));
+        assertEquals(List.of(), view.hostsForCallers(false, 300));
         assertTrue(view.apply(second, 400), "its load is newer than the known one");
-        assertEquals(List.of(), view.callerAddresses(HERE, false, 400), "the phase of an older report is not");
+        assertEquals(List.of(), view.hostsForCallers(false, 400), "the phase of an older report is not");
         view.apply(new HostHeartbeat(process(49), 99, HostPhase.READY), OTHER, 500);
-        assertEquals(List.of(), view.callerAddresses(HERE, false, 500), "the heartbeat is of an earlier process");
+        assertEquals(List.of(), view.hostsForCallers(false, 500), "the heartbeat is of an earlier process");
     }
 
     @Test
@@ -220,10 +221,14 @@
             fleet.start(i, List.of(address(1)), 0);
         }
         long now = run(fleet, 0, 2_000);
-        assertEquals(2, fleet.view(1).callerAddresses(HERE, false, now).size());
+        assertEquals(2, fleet.view(1).hostsForCallers(false, now).size());
         fleet.kill(2);
         now = run(fleet, now, FleetView.REACH_TIMEOUT_MILLIS + 300);
-        assertEquals(List.of(address(3)), fleet.view(1).callerAddresses(HERE, false, now));
+        assertEquals(
+                List.of(address(3)),
+                fleet.view(1).hostsForCallers(false, now).stream()
+                        .map(HostReport::callers)
+                        .toList());
         assertTrue(fleet.view(1).reachableShare(now) < 1, "the stopped host may still be spending its budget");
     }
 
@@ -342,7 +347,7 @@
         FleetView view = new FleetView(new HostId("h1"), 0, List.of(address(9)), new SplittableRandom(1));
         assertEquals(1, view.reachableShare(5_000));
         assertFalse(view.isLeader(5_000), "a host alone does not act for the fleet");
-        assertEquals(List.of(), view.callerAddresses(HERE, false, 5_000));
+        assertEquals(List.of(), view.hostsForCallers(false, 5_000));
         assertEquals(List.of(address(9)), view.receivers(address(1)));
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/EntryAnswers.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/EntryAnswers.java
@@ -3,28 +3,28 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.guavathread.core.gossip.EntrySelection;
+import org.guavathread.core.gossip.EntrySelection.Candidate;
 import org.guavathread.core.gossip.FleetView;
 import org.guavathread.core.gossip.HostPhase;
-import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.sheet.SocketAddressText;
 
 /** Lists the addresses to which callers should connect, from this host's view of the fleet. Thread-safe. */
 public final class EntryAnswers {
 
-    /** Maximum number of addresses in one answer. */
-    private static final int MAX_ADDRESSES = 64;
-
-    private final SocketAddressText own;
+    private final Candidate own;
     private volatile View view = new View(List.of(), HostPhase.STARTING, false);
 
-    private record View(List<SocketAddressText> others, HostPhase phase, boolean othersAreBetter) {}
+    private record View(List<Candidate> others, HostPhase phase, boolean othersAreBetter) {}
 
-    EntryAnswers(SocketAddressText own) {
+    EntryAnswers(Candidate own) {
         this.own = own;
     }
 
-    void update(FleetView fleet, HostPhase phase, boolean isCutOff, DataCentreId here, long nowMillis) {
-        List<SocketAddressText> others = fleet.callerAddresses(here, isCutOff, nowMillis);
+    void update(FleetView fleet, HostPhase phase, boolean isCutOff, long nowMillis) {
+        List<Candidate> others = fleet.hostsForCallers(isCutOff, nowMillis).stream()
+                .map(r -> new Candidate(r.host(), r.callers(), r.capacity()))
+                .toList();
         view = new View(others, phase, isCutOff && fleet.anyReachesServers(nowMillis));
     }
 
@@ -35,12 +35,11 @@
      */
     public List<SocketAddressText> addresses() {
         View now = view;
-        List<SocketAddressText> addresses = new ArrayList<>();
-        if (now.phase().takesCallers() && !now.othersAreBetter() || now.others().isEmpty()) {
-            addresses.add(own);
+        List<Candidate> serving = new ArrayList<>(now.others());
+        if (now.phase().takesCallers() && !now.othersAreBetter() || serving.isEmpty()) {
+            serving.add(own);
         }
-        addresses.addAll(now.others());
-        return List.copyOf(addresses.subList(0, Math.min(MAX_ADDRESSES, addresses.size())));
+        return EntrySelection.select(own.host(), serving);
     }
 
     /**
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -13,6 +13,7 @@
 import java.util.function.Supplier;
 
 import org.guavathread.core.dispatch.RolePlan;
+import org.guavathread.core.gossip.EntrySelection;
 import org.guavathread.core.gossip.FleetView;
 import org.guavathread.core.gossip.GossipPacket;
 import org.guavathread.core.gossip.HostPhase;
@@ -162,7 +163,8 @@
                 context.log(),
                 clock);
         this.fleet = new FleetView(settings.hostId(), startedAtMillis, settings.seeds(), random.split());
-        this.entry = new EntryAnswers(settings.listenCallers());
+        this.entry = new EntryAnswers(
+                new EntrySelection.Candidate(settings.hostId(), settings.listenCallers(), settings.capacity()));
         GossipSocket[] socket = new GossipSocket[1];
         socket[0] = new GossipSocket(settings.listenPeers(), this::messageReceived, context.metrics());
         GossipReporter.Identity identity = new GossipReporter.Identity(
@@ -170,7 +172,8 @@
                 startedAtMillis,
                 settings.dataCentre(),
                 settings.listenCallers(),
-                settings.listenPeers());
+                settings.listenPeers(),
+                settings.capacity());
         this.reporter = new GossipReporter(identity, context, fleet, socket[0]);
         StoreClient store = platform.storeClient(context.client(), settings);
         StoreConfirmation storeWord = new StoreConfirmation(context, store, this::stateConfirmed);
@@ -375,7 +378,7 @@
         departureCheck.step();
         reach.step();
         reporter.cutOff(reach.isCutOff());
-        entry.update(fleet, reporter.phase(), reach.isCutOff(), settings.dataCentre(), clock.nowMillis());
+        entry.update(fleet, reporter.phase(), reach.isCutOff(), clock.nowMillis());
     }
 
     /** Callers who can go nowhere else are better off with a host that is slow at first. */
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
@@ -51,13 +51,15 @@
      * @param dataCentre data centre of this host
      * @param callers address for callers
      * @param peers address for other hosts
+     * @param capacity what its processor can do, in thousandths of a core; 0 if not known
      */
     public record Identity(
             HostId host,
             long incarnation,
             DataCentreId dataCentre,
             SocketAddressText callers,
-            SocketAddressText peers) {}
+            SocketAddressText peers,
+            int capacity) {}
 
     private final Identity identity;
     private final GatewayContext context;
@@ -181,9 +183,7 @@
 
     @Override
     public boolean othersServe() {
-        return !fleet.callerAddresses(
-                        identity.dataCentre(), cutOff, context.loop().nowMillis())
-                .isEmpty();
+        return !fleet.hostsForCallers(cutOff, context.loop().nowMillis()).isEmpty();
     }
 
     @Override
@@ -373,6 +373,7 @@
                         .serversNotConnected(context.state().registry().ids().size(), nowMillis),
                 context.crashSuspects().report(nowMillis),
                 context.serverLimits().report(nowMillis),
-                cutOff);
+                cutOff,
+                identity.capacity());
     }
 }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/settings/GatewaySettings.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/settings/GatewaySettings.java
@@ -16,6 +16,10 @@
 /** Settings of one daemon. {@link #check()} reports all invalid settings at once. */
 public final class GatewaySettings {
 
+    private static final double THOUSANDTHS = 1_000;
+
+    private static final double MAX_CORES = 10_000;
+
     private static final Set<String> LOG_LEVELS = Set.of("trace", "debug", "info", "warn", "error");
 
     @Option(name = "--host-id", metaVar = "NAME", usage = "name of this host")
@@ -24,6 +28,12 @@
     @Option(name = "--data-centre", metaVar = "NAME", usage = "data centre of this host")
     private String dataCentre = "";
 
+    @Option(name = "--cores", metaVar = "N", usage = "speed of this host's processor, in cores; 0 if not known")
+    private double cores;
+
+    @Option(name = "--core-share", metaVar = "N", usage = "part of that processor that this host may use")
+    private double coreShare = 1;
+
     @Option(name = "--listen-callers", metaVar = "IP:PORT", usage = "address for callers")
     private String listenCallers = "";
 
@@ -123,6 +133,9 @@
             faults.add(
                     "--retry-ratio, --retry-extra, --retry-window-seconds and --burst-allowance cannot be negative.");
         }
+        if (cores < 0 || coreShare <= 0) {
+            faults.add("--cores cannot be negative, and --core-share must be above 0.");
+        }
         if (applyMillis < 100) {
             faults.add("--apply-millis is " + applyMillis + "; it must be at least 100.");
         }
@@ -173,6 +186,15 @@
         return new DataCentreId(required("--data-centre", dataCentre));
     }
 
+    /**
+     * Returns what this host's processor can do.
+     *
+     * @return thousandths of a core; 0 if not known
+     */
+    public int capacity() {
+        return (int) Math.round(Math.min(MAX_CORES, cores * coreShare) * THOUSANDTHS);
+    }
+
     /**
      * Returns the address for callers.
      *
--- a/guavathread-gateway/src/test/java/org/guavathread/gateway/fleet/MessageFormatTest.java
+++ b/guavathread-gateway/src/test/java/org/guavathread/gateway/fleet/MessageFormatTest.java
@@ -61,7 +61,8 @@
             List.of(new HostReport.CrashEvidence(
                     new CrashTrait(-5, 1_000), List.of(new HostReport.CrashSighting(-70_000, 4_000, true)))),
             List.of(new HostReport.StatedLimit(SERVER, 1.1, 250)),
-            true);
+            true,
+            1_500);
 
     private static final HostReport IDLE = new HostReport(
             new HostId("edge-2"),
@@ -81,17 +82,18 @@
             List.of(),
             List.of(),
             List.of(),
-            false);
+            false,
+            0);
 
     private static final GossipPacket PACKET =
             new GossipPacket(BUSY, List.of(IDLE), List.of(new HostHeartbeat(-1, 70_000, HostPhase.LEAVING)));
 
     private static final String PACKET_HEX =
-            "940100c293dc0012a6656467652d31cf0000018bcfe56800cd012ca663757269636f92a931302e312e302e3336cd20a8"
+            "940100c293dc0013a6656467652d31cf0000018bcfe56800cd012ca663757269636f92a931302e312e302e3336cd20a8"
                     + "92a931302e312e302e3336cd1e3ca552454144599202ce00011170079192a46b616375cb3ff80000000000005f03a44c"
                     + "4154459193a3692d31cd7530cd9bac91a3692d32919292fbcd03e89193d2fffeee90cd0fa0c39193a3692d31cb3ff199"
-                    + "999999999accfac391dc0012a6656467652d32cf0000018bcfe569f401a574616c636192a931302e312e302e3337cd20"
-                    + "a892a931302e312e302e3337cd1e3ca85354415254494e4792000000900100a44e4f4e4590909090c29193ffce000111"
+                    + "999999999accfac3cd05dc91dc0013a6656467652d32cf0000018bcfe569f401a574616c636192a931302e312e302e3337cd20"
+                    + "a892a931302e312e302e3337cd1e3ca85354415254494e4792000000900100a44e4f4e4590909090c2009193ffce000111"
                     + "70a74c454156494e47";
 
     private final GossipSocket socket = new GossipSocket(ADDRESS, message -> {}, new GatewayMetrics());
@@ -114,18 +116,32 @@
     @Test
     void gossipPacketOfALaterBuild() {
         String longer = PACKET_HEX
-                .replace("dc0012a6656467652d31", "dc0013a6656467652d31")
-                .replace("accfac391dc", "accfac3" + "920193c0c2a161" + "91dc");
+                .replace("dc0013a6656467652d31", "dc0014a6656467652d31")
+                .replace("accfac3cd05dc91dc", "accfac3cd05dc" + "920193c0c2a161" + "91dc");
         assertEquals(PACKET, socket.decode(HexFormat.of().parseHex(longer)));
     }
 
-    /** Hosts of builds before 96b7d09 refuse reports with the last component. */
+    /** Hosts of the builds from 96b7d09 to 9333393 write reports without the capacity, which is not known then. */
+    @Test
+    void gossipPacketWithoutCapacities() {
+        String earlier = PACKET_HEX
+                .replace("dc0013", "dc0012")
+                .replace("accfac3cd05dc91dc", "accfac391dc")
+                .replace("a44e4f4e4590909090c200", "a44e4f4e4590909090c2");
+        GossipPacket read = (GossipPacket) socket.decode(HexFormat.of().parseHex(earlier));
+        assertEquals(IDLE, read.others().get(0));
+        assertEquals(0, read.own().capacity());
+        assertEquals(List.of(18), socket.fieldsFor(ADDRESS));
+        assertFormat(announced(earlier), socket.encode(PACKET, 18));
+    }
+
+    /** Hosts of builds before 96b7d09 refuse reports with the last two components. */
     @Test
     void gossipPacketOfAnEarlierBuild() {
         String earlier = PACKET_HEX
-                .replace("dc0012", "dc0011")
-                .replace("accfac391dc", "accfa91dc")
-                .replace("a44e4f4e4590909090c2", "a44e4f4e4590909090");
+                .replace("dc0013", "dc0011")
+                .replace("accfac3cd05dc91dc", "accfa91dc")
+                .replace("a44e4f4e4590909090c200", "a44e4f4e4590909090");
         GossipPacket read = (GossipPacket) socket.decode(HexFormat.of().parseHex(earlier));
         assertEquals(IDLE, read.others().get(0));
         assertFalse(read.own().isCutOff());
@@ -135,17 +151,17 @@
 
     /** The correlation, which hosts of all builds ignore, is the number of components that the sender reads. */
     private static String announced(String hex) {
-        return hex.replaceFirst("^940100", "940112");
+        return hex.replaceFirst("^940100", "940113");
     }
 
     @Test
     void formatOfAHostIsLearnedFromItsLastPacket() {
         assertEquals(List.of(18, 17), socket.fieldsFor(ADDRESS));
         socket.decode(HexFormat.of().parseHex(PACKET_HEX));
-        assertEquals(List.of(18), socket.fieldsFor(ADDRESS));
+        assertEquals(List.of(19), socket.fieldsFor(ADDRESS));
         socket.decode(socket.encode(PACKET, 17));
-        assertEquals(List.of(18), socket.fieldsFor(ADDRESS));
-        assertFormat(announced(PACKET_HEX), socket.encode(PACKET, 18));
+        assertEquals(List.of(19), socket.fieldsFor(ADDRESS));
+        assertFormat(announced(PACKET_HEX), socket.encode(PACKET, 19));
         assertThrows(CodecException.class, () -> socket.encode(PACKET, 16));
     }
 
