Send nothing new to the servers of an evacuated data centre

Cause: the operator evacuates a data centre by an item in the store, which nothing read, so its servers stayed in use. Change: PublishedState follows these items in EvacuatedDataCentres; WorkerRegistry.usable() leaves the servers out for all senders, and questions by name leave them out as well. Requests of a service without another server are refused at once. The log names data centre, servers and revision; two gauges show number and age. Ruled out: moving what runs there; reports of their own between hosts (docs/design/evacuation.md).

--- a/guavathread-core/src/main/java/org/guavathread/core/publish/ItemDecoder.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/ItemDecoder.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import org.guavathread.core.id.BackendServerId;
+import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.routing.RoutingTable;
 
@@ -25,6 +26,14 @@
      */
     Optional<BackendServerId> serverOf(String key);
 
+    /**
+     * Returns the data centre that an item evacuates for as long as it is stored.
+     *
+     * @param key the item's key
+     * @return the data centre, or empty if the key belongs to no evacuation
+     */
+    Optional<DataCentreId> evacuatedBy(String key);
+
     /**
      * Decodes the configuration.
      *
--- a/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -10,7 +11,9 @@
 import java.util.Set;
 
 import org.guavathread.core.id.BackendServerId;
+import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.registry.DepartedServers;
+import org.guavathread.core.registry.EvacuatedDataCentres;
 import org.guavathread.core.registry.VersionHistory;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.registry.WorkerRegistry;
@@ -26,6 +29,8 @@
     /** Maximum difference between the clocks of a host and a server, in milliseconds. */
     private static final long MAX_CLOCK_DIFFERENCE_MILLIS = 2_000;
 
+    private static final String EVACUATION = "evacuation";
+
     private final ItemDecoder decoder;
     private final long silenceMillis;
     private final WorkerRegistry registry = new WorkerRegistry();
@@ -76,19 +81,33 @@
         registry.listed(nowMillis);
         List<StateChange> changes = new ArrayList<>();
         Set<String> present = new HashSet<>();
-        for (StoreItem item : listing) {
+        List<StoreItem> ordered = new ArrayList<>(listing);
+        // An evacuation is logged with the number of servers that it concerns.
+        ordered.sort(
+                Comparator.comparing(item -> decoder.evacuatedBy(item.key()).isPresent()));
+        for (StoreItem item : ordered) {
             present.add(item.key());
             apply(item, nowMillis, changes);
         }
         previous.forEach((key, item) -> {
             if (!present.contains(key) && (isNewEpoch || item.revision() <= at.revision())) {
                 items.remove(key);
-                decode(StoreItem.deleted(key, at.revision()), nowMillis, changes);
+                Optional<DataCentreId> lost = isNewEpoch ? decoder.evacuatedBy(key) : Optional.empty();
+                if (lost.isPresent()) {
+                    evacuationLost(lost.get(), at, nowMillis, changes);
+                } else {
+                    decode(StoreItem.deleted(key, at.revision()), nowMillis, changes);
+                }
             }
         });
         return changes;
     }
 
+    private void evacuationLost(DataCentreId dataCentre, StorePosition at, long nowMillis, List<StateChange> changes) {
+        registry.evacuated().lost(dataCentre, nowMillis);
+        changes.add(new StateChange(EVACUATION, dataCentre.value(), "lost by the store, held", at.revision()));
+    }
+
     private void beginEpoch(long nowMillis) {
         if (!position.equals(StorePosition.START)) {
             items.clear();
@@ -203,6 +222,10 @@
         registry.expire(nowMillis);
         departed.expire(nowMillis);
         List<StateChange> changes = new ArrayList<>();
+        registry.evacuated()
+                .expire(nowMillis)
+                .forEach(e -> changes.add(
+                        new StateChange(EVACUATION, e.dataCentre().value(), "over, not written again", e.revision())));
         if (nowMillis >= outdatedUntilMillis) {
             Map<BackendServerId, StoreItem> released = Map.copyOf(withheld);
             withheld.clear();
@@ -297,6 +320,22 @@
             applyConfiguration(item, changes);
         } else {
             decoder.serverOf(item.key()).ifPresent(id -> applyServer(id, item, nowMillis, changes));
+            decoder.evacuatedBy(item.key()).ifPresent(each -> applyEvacuation(each, item, nowMillis, changes));
+        }
+    }
+
+    private void applyEvacuation(DataCentreId dataCentre, StoreItem item, long nowMillis, List<StateChange> changes) {
+        EvacuatedDataCentres evacuated = registry.evacuated();
+        if (!item.isDeleted()) {
+            boolean isNew = evacuated.begin(dataCentre, item.revision(), nowMillis);
+            long servers = registry.registered().stream()
+                    .filter(w -> w.dataCentre().equals(dataCentre))
+                    .count();
+            String outcome = (isNew ? "in force" : "still in force")
+                    + (servers == 0 ? ", no backend server is listed there" : ", backend servers: " + servers);
+            changes.add(change(EVACUATION, dataCentre.value(), outcome, item));
+        } else if (evacuated.end(dataCentre)) {
+            changes.add(change(EVACUATION, dataCentre.value(), "taken back", item));
         }
     }
 
--- a/guavathread-core/src/main/java/org/guavathread/core/publish/StateChange.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/StateChange.java
@@ -3,8 +3,8 @@
 /**
  * A change of the published state as this host applied it, for the log.
  *
- * @param what kind of the changed item: {@code configuration}, {@code server} or {@code item}
- * @param name version of the configuration, id of the server or key of the item
+ * @param what kind of the changed item: {@code configuration}, {@code server} or {@code evacuation}
+ * @param name version of the configuration, id of the server or name of the data centre
  * @param outcome effect of the change
  * @param revision the store's revision of the change
  */
--- a/guavathread-core/src/main/java/org/guavathread/core/registry/WorkerRegistry.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/registry/WorkerRegistry.java
@@ -27,6 +27,7 @@
     private final Map<BackendServerId, Worker> lapsed = new HashMap<>();
     private final VersionHistory versions = new VersionHistory();
     private final ServerProcesses processes = new ServerProcesses();
+    private final EvacuatedDataCentres evacuated = new EvacuatedDataCentres();
     private long outageEndedAtMillis = -GRACE_PERIOD_MILLIS;
     private boolean outage;
 
@@ -179,7 +180,7 @@
      * Returns the servers of a service that accept new requests.
      *
      * @param service the service
-     * @return servers that are registered or in their grace period, and not draining
+     * @return servers that are registered or in their grace period, and neither draining nor evacuated
      */
     public List<Worker> usable(ServiceName service) {
         return usable(w -> w.service().equals(service));
@@ -188,7 +189,7 @@
     /**
      * Returns the servers of all services that accept new requests.
      *
-     * @return servers that are registered or in their grace period, and not draining
+     * @return servers that are registered or in their grace period, and neither draining nor evacuated
      */
     public List<Worker> usable() {
         return usable(w -> true);
@@ -197,11 +198,32 @@
     private List<Worker> usable(Predicate<Worker> filter) {
         List<Worker> usable = new ArrayList<>();
         for (Collection<Worker> each : List.of(registered.values(), lapsed.values())) {
-            each.stream().filter(w -> !w.draining() && filter.test(w)).forEach(usable::add);
+            each.stream()
+                    .filter(w -> !w.draining() && !isEvacuated(w) && filter.test(w))
+                    .forEach(usable::add);
         }
         return usable;
     }
 
+    /**
+     * Tells whether a server belongs to an evacuated data centre.
+     *
+     * @param worker the server
+     * @return true if nothing new may be sent to it
+     */
+    public boolean isEvacuated(Worker worker) {
+        return evacuated.contains(worker.dataCentre());
+    }
+
+    /**
+     * Returns the evacuated data centres.
+     *
+     * @return the data centres, as far as this host has learned of them
+     */
+    public EvacuatedDataCentres evacuated() {
+        return evacuated;
+    }
+
     /**
      * Returns the software versions that servers of a service have had since a time.
      *
--- a/guavathread-core/src/test/java/org/guavathread/core/publish/PublishedStateTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/publish/PublishedStateTest.java
@@ -50,6 +50,11 @@
             return RoutingTable.builder(Long.parseLong(text(value))).build();
         }
 
+        @Override
+        public Optional<DataCentreId> evacuatedBy(String key) {
+            return key.startsWith("e/") ? Optional.of(new DataCentreId(key.substring(2))) : Optional.empty();
+        }
+
         /** Decodes the state of a server, the start time of its process and its software version. */
         @Override
         public Worker server(BackendServerId id, byte[] value) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -100,6 +100,7 @@
     private static final long FIRST_WARM_UP_MILLIS = 6_000;
 
     private static final long LOOP_CALL_TIMEOUT_MILLIS = 500;
+    private static final double MILLIS_PER_SECOND = 1_000;
 
     private final GatewaySettings settings;
     private final Clock clock;
@@ -241,6 +242,11 @@
                         "/metrics",
                         query -> new PageServer.Page(
                                 200, "text/plain", context.metrics().text()))));
+        addGauges();
+        return callers;
+    }
+
+    private void addGauges() {
         context.metrics().gauge("guavathread_requests_in_progress", "Requests without an end.", () -> inProgress(0));
         context.metrics()
                 .gauge(
@@ -257,6 +263,22 @@
                         "guavathread_paused_servers",
                         "Backend servers in a pause for which they asked this host.",
                         () -> callOnLoop(() -> context.pauses().size(clock.nowMillis()), 0));
+        context.metrics()
+                .gauge(
+                        "guavathread_evacuated_data_centres",
+                        "Data centres that the operator has evacuated.",
+                        () -> callOnLoop(
+                                () -> context.state()
+                                        .registry()
+                                        .evacuated()
+                                        .inForce()
+                                        .size(),
+                                0));
+        context.metrics()
+                .gauge(
+                        "guavathread_evacuation_seconds",
+                        "Time since this host learned of the oldest evacuation in force; 0 if there is none.",
+                        () -> callOnLoop(this::evacuationMillis, 0L) / MILLIS_PER_SECOND);
         context.metrics()
                 .gauge(
                         "guavathread_store_epoch",
@@ -272,7 +294,14 @@
                         "guavathread_unreadable_items",
                         "Items of the store that could not be decoded, since the start.",
                         () -> callOnLoop(() -> context.state().unreadable(), 0L));
-        return callers;
+    }
+
+    private long evacuationMillis() {
+        long now = clock.nowMillis();
+        return context.state().registry().evacuated().inForce().stream()
+                .mapToLong(e -> now - e.sinceMillis())
+                .max()
+                .orElse(0);
     }
 
     private void accept(CallerExchange exchange) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineResources.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineResources.java
@@ -122,9 +122,10 @@
         reservation = Optional.empty();
     }
 
-    /** Gives something back; if that fails, or the engine is in a pause, it expires soon. */
+    /** Gives something back; if that fails, or the engine is in a pause or evacuated, it expires soon. */
     private void sendAndForget(Worker engine, HttpRequest request) {
-        if (!context.pauses().isPaused(engine, now())) {
+        if (!context.pauses().isPaused(engine, now())
+                && !context.state().registry().isEvacuated(engine)) {
             backendClient.send(engine, request, answer -> {}, failure -> {});
         }
     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -137,7 +137,9 @@
     }
 
     private void queueOrPlace() {
-        if (capacityQueue.mustQueue(waitingPlace())) {
+        if (runners().isEmpty()) {
+            giveUp("No engine of service " + admitted.service() + " may get the request.");
+        } else if (capacityQueue.mustQueue(waitingPlace())) {
             waitForRoom();
         } else {
             place();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/DepartureCheck.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/DepartureCheck.java
@@ -41,7 +41,9 @@
 
     /** Asks the servers that are due. */
     public void step() {
-        List<Worker> unconfirmed = context.state().unconfirmed();
+        List<Worker> unconfirmed = context.state().unconfirmed().stream()
+                .filter(w -> !context.state().registry().isEvacuated(w))
+                .toList();
         nextAskMillis.keySet().retainAll(unconfirmed.stream().map(Worker::id).toList());
         long now = context.loop().nowMillis();
         context.pauses().withoutPause(unconfirmed, now).stream()
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/RunSurvey.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/RunSurvey.java
@@ -113,14 +113,14 @@
         round.answered();
     }
 
-    /** Returns the engines that want requests. */
+    /** Returns the engines that may be asked. */
     private List<Worker> engines(Predicate<Worker> filter) {
         WorkerRegistry registry = context.state().registry();
         long now = context.loop().nowMillis();
         return registry.ids().stream()
                 .flatMap(id -> registry.find(id).stream())
                 .filter(w -> w.stage().generates() && filter.test(w))
-                .filter(w -> !context.pauses().isPaused(w, now))
+                .filter(w -> !context.pauses().isPaused(w, now) && !registry.isEvacuated(w))
                 .collect(Collectors.toCollection(ArrayList::new));
     }
 
