--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/EngineDispatch.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/EngineDispatch.java
@@ -81,6 +81,35 @@
         this.random = random;
     }
 
+    /**
+     * Chooses the engines of a request among warm ones if they serve it in time, otherwise among all. Cold engines are
+     * empty, so that all hosts would prefer them at the same moment.
+     *
+     * @param servers the engines of the service that accept new requests
+     * @param warm those of them that are not cold
+     * @param tried decode engines to which the request has already been sent
+     * @param work size of the request
+     * @param memoryTokens tokens that the memory of one engine holds
+     * @param targetMillis latency target of the first token, in milliseconds
+     * @param nowMillis the current time
+     * @return the plan, or empty if by the latest reports no untried decode engine has free memory
+     */
+    public Optional<EnginePlan> chooseWarmFirst(
+            Collection<Worker> servers,
+            Collection<Worker> warm,
+            Set<BackendServerId> tried,
+            EngineWork work,
+            int memoryTokens,
+            long targetMillis,
+            long nowMillis) {
+        if (warm.size() == servers.size()) {
+            return choose(servers, tried, work, memoryTokens, targetMillis, nowMillis);
+        }
+        return choose(warm, tried, work, memoryTokens, targetMillis, nowMillis)
+                .filter(plan -> plan.expectedMillis() <= targetMillis)
+                .or(() -> choose(servers, tried, work, memoryTokens, targetMillis, nowMillis));
+    }
+
     /**
      * Chooses the engines of a request.
      *
--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerLimits.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerLimits.java
@@ -6,10 +6,12 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 
 import org.guavathread.core.gossip.HostReport.StatedLimit;
 import org.guavathread.core.hash.RendezvousHash;
@@ -18,13 +20,15 @@
 import org.guavathread.core.registry.Worker;
 
 /**
- * Request rates that backend servers in need state in their answers, for all hosts together.
+ * Request rates that backend servers in need state in their answers, and those of cold servers, for all hosts together.
+ * The loads that it answers are demand beyond a stated limit, and many hosts that send to the same cold servers at once.
  *
  * <p>Each server with a limit has one owner among the hosts, chosen by rendezvous hashing. The owner counts the requests
  * of all hosts in a sliding window and grants each one before it is sent, so that the bound does not depend on how fast
  * hosts hear of each other. A host that was refused does not ask again before the time that the owner gave it.
  *
- * <p>Hosts tell each other what they learned from answers; the latest statement of a server holds.
+ * <p>Hosts tell each other what they learned from answers; the latest statement of a server holds. Which servers are cold
+ * each host knows by itself ({@link ColdServers}).
  */
 public final class ServerLimits {
 
@@ -43,6 +47,9 @@
     /** Time in which grants are counted, so that requests which arrive in one window are. */
     private static final long GRANT_WINDOW_MILLIS = WINDOW_MILLIS + MAX_TRANSIT_MILLIS;
 
+    /** The same for cold servers, whose requests are counted in one second. */
+    private static final long COLD_GRANT_WINDOW_MILLIS = 1_000 + MAX_TRANSIT_MILLIS;
+
     /** Tolerated requests that are not granted, for one that the owner did not hear of. */
     private static final int RESERVE = 1;
 
@@ -65,37 +72,69 @@
 
     private record Statement(OptionalDouble perSecond, long atMillis) {}
 
+    /** What may be granted within a time. */
+    private record Allowance(int size, long spanMillis, boolean isFullAtFirst) {
+
+        private static Allowance stated(double perSecond, double share) {
+            return new Allowance(windowSize(perSecond, share), GRANT_WINDOW_MILLIS, true);
+        }
+
+        private static Allowance cold(double perSecond, boolean isColdForSure, double share) {
+            double requests = Math.min(MAX_LIMIT_PER_SECOND, perSecond) * share;
+            if (requests >= 1) {
+                return new Allowance((int) requests, COLD_GRANT_WINDOW_MILLIS, true);
+            }
+            // Hosts that are each cut off from the others have a small share, and together must not send one each.
+            return isColdForSure
+                    ? new Allowance(1, (long) (COLD_GRANT_WINDOW_MILLIS / requests), true)
+                    : new Allowance(1, COLD_GRANT_WINDOW_MILLIS, false);
+        }
+    }
+
+    private enum Kind {
+        STATED,
+        COLD
+    }
+
+    private record WindowKey(BackendServerId server, Kind kind) {}
+
     /** The requests to one server that its owner has granted. */
     private static final class Window {
         private final Deque<Long> grantsMillis = new ArrayDeque<>();
         private long lastPromisedMillis;
 
         /** Starts as if the window were in full use, since an earlier owner may have granted as much. */
-        private Window(int size, long nowMillis) {
-            for (int i = 0; i < size; i++) {
-                grantsMillis.add(nowMillis - GRANT_WINDOW_MILLIS + (i + 1) * GRANT_WINDOW_MILLIS / size);
+        private Window(Allowance allowance, long nowMillis) {
+            for (int i = 0; allowance.isFullAtFirst() && i < allowance.size(); i++) {
+                grantsMillis.add(
+                        nowMillis - allowance.spanMillis() + (i + 1) * allowance.spanMillis() / allowance.size());
             }
         }
 
-        private long grant(int size, long nowMillis) {
-            while (!grantsMillis.isEmpty() && grantsMillis.peek() <= nowMillis - GRANT_WINDOW_MILLIS) {
+        private boolean hasRoom(Allowance allowance, long nowMillis) {
+            while (!grantsMillis.isEmpty() && grantsMillis.peek() <= nowMillis - allowance.spanMillis()) {
                 grantsMillis.remove();
             }
-            if (grantsMillis.size() < size) {
-                grantsMillis.add(nowMillis);
-                return 0;
-            }
-            // Each refused host is told a later time than the one before, so that not all ask at the same moment.
-            long freeMillis = grantsMillis.peek() + GRANT_WINDOW_MILLIS;
-            lastPromisedMillis = Math.max(freeMillis, lastPromisedMillis + GRANT_WINDOW_MILLIS / size);
+            return grantsMillis.size() < allowance.size();
+        }
+
+        private void grant(long nowMillis) {
+            grantsMillis.add(nowMillis);
+        }
+
+        /** Returns when to ask again: each refused host later than the one before, so that not all ask at once. */
+        private long promise(Allowance allowance, long nowMillis) {
+            long freeMillis = grantsMillis.peek() + allowance.spanMillis();
+            lastPromisedMillis = Math.max(freeMillis, lastPromisedMillis + allowance.spanMillis() / allowance.size());
             return lastPromisedMillis - nowMillis;
         }
     }
 
     private final HostId self;
+    private final ColdServers cold;
     private final Map<BackendServerId, Statement> own = new HashMap<>();
     private final Map<BackendServerId, Statement> latest = new HashMap<>();
-    private final Map<BackendServerId, Window> windows = new HashMap<>();
+    private final Map<WindowKey, Window> windows = new HashMap<>();
     private final Map<BackendServerId, Long> fullUntilMillis = new HashMap<>();
     private List<HostId> hosts;
     private double reachableShare = 1;
@@ -104,9 +143,11 @@
      * Creates the limits.
      *
      * @param self this host
+     * @param cold which servers are cold
      */
-    public ServerLimits(HostId self) {
+    public ServerLimits(HostId self, ColdServers cold) {
         this.self = self;
+        this.cold = cold;
         this.hosts = List.of(self);
     }
 
@@ -122,7 +163,7 @@
         next.sort(Comparator.comparing(HostId::value));
         if (!next.equals(hosts) && !next.isEmpty()) {
             hosts = List.copyOf(next);
-            windows.keySet().removeIf(server -> !owner(server).equals(self));
+            windows.keySet().removeIf(key -> !ownerOf(key.server()).equals(self));
         }
     }
 
@@ -200,16 +241,28 @@
     }
 
     /**
-     * Returns the host that grants the requests to a server.
+     * Returns what binds a request to a server.
      *
      * @param server the server
-     * @return the owner of its limit, or empty if it states none
+     * @param purpose what the request is for
+     * @param nowMillis the current time
+     * @return the terms under which its owner grants it, or empty if it needs no grant
      */
-    public Optional<HostId> ownerOf(BackendServerId server) {
-        return limitOf(server).isEmpty() ? Optional.empty() : Optional.of(owner(server));
+    public Optional<PermitTerms> termsOf(Worker server, SendPurpose purpose, long nowMillis) {
+        PermitTerms terms = new PermitTerms(
+                purpose.countsAgainstStatedLimit() ? limitOf(server.id()) : OptionalDouble.empty(),
+                cold.grantedPerSecond(server, nowMillis),
+                cold.isCold(server, nowMillis));
+        return Optional.of(terms).filter(PermitTerms::isBinding);
     }
 
-    private HostId owner(BackendServerId server) {
+    /**
+     * Returns the host that grants the requests to a server, if they need a grant.
+     *
+     * @param server the server
+     * @return the owner of its limits
+     */
+    public HostId ownerOf(BackendServerId server) {
         return RendezvousHash.rank("limit:" + server.value(), hosts, HostId::value)
                 .get(0);
     }
@@ -218,14 +271,37 @@
      * Grants one request of any host to a server, at its owner.
      *
      * @param server the server
-     * @param perSecond its limit as the asking host knows it
+     * @param terms its limits as the asking host knows them
      * @param nowMillis the current time
      * @return 0 if the request may be sent now, otherwise the milliseconds after which to ask again
      */
-    public long grant(BackendServerId server, double perSecond, long nowMillis) {
-        int size = windowSize(perSecond, reachableShare);
-        return windows.computeIfAbsent(server, id -> new Window(size, nowMillis))
-                .grant(size, nowMillis);
+    public long grant(BackendServerId server, PermitTerms terms, long nowMillis) {
+        Map<Window, Allowance> binding = new HashMap<>();
+        terms.statedPerSecond()
+                .ifPresent(
+                        rate -> bind(binding, server, Kind.STATED, Allowance.stated(rate, reachableShare), nowMillis));
+        terms.coldPerSecond()
+                .ifPresent(rate -> bind(
+                        binding,
+                        server,
+                        Kind.COLD,
+                        Allowance.cold(rate, terms.isColdForSure(), reachableShare),
+                        nowMillis));
+        long waitMillis = binding.entrySet().stream()
+                .filter(e -> !e.getKey().hasRoom(e.getValue(), nowMillis))
+                .mapToLong(e -> e.getKey().promise(e.getValue(), nowMillis))
+                .max()
+                .orElse(0);
+        if (waitMillis == 0) {
+            binding.keySet().forEach(window -> window.grant(nowMillis));
+        }
+        return waitMillis;
+    }
+
+    private void bind(
+            Map<Window, Allowance> binding, BackendServerId server, Kind kind, Allowance allowance, long nowMillis) {
+        Window window = windows.computeIfAbsent(new WindowKey(server, kind), key -> new Window(allowance, nowMillis));
+        binding.put(window, allowance);
     }
 
     /** Returns how many requests may be granted within {@link #GRANT_WINDOW_MILLIS}. */
@@ -261,13 +337,16 @@
     }
 
     /**
-     * Filters out servers that state a limit.
+     * Filters out servers that state a limit, and cold ones.
      *
      * @param servers the candidates
+     * @param nowMillis the current time
      * @return servers without a limit
      */
-    public List<Worker> withoutLimit(Collection<Worker> servers) {
-        return servers.stream().filter(w -> limitOf(w.id()).isEmpty()).toList();
+    public List<Worker> withoutLimit(Collection<Worker> servers, long nowMillis) {
+        return cold.notCold(servers, nowMillis).stream()
+                .filter(w -> limitOf(w.id()).isEmpty())
+                .toList();
     }
 
     /**
@@ -306,8 +385,10 @@
         registered.forEach(w -> startsMillis.put(w.id(), w.startedAtMillis()));
         own.entrySet().removeIf(e -> isOver(e.getValue(), startsMillis.get(e.getKey()), nowMillis));
         latest.entrySet().removeIf(e -> isOver(e.getValue(), startsMillis.get(e.getKey()), nowMillis));
-        windows.keySet().removeIf(id -> !startsMillis.containsKey(id) && !latest.containsKey(id));
-        fullUntilMillis.keySet().retainAll(latest.keySet());
+        windows.keySet().removeIf(key -> !startsMillis.containsKey(key.server()) && !latest.containsKey(key.server()));
+        Set<BackendServerId> coldServers = new HashSet<>();
+        registered.stream().filter(w -> cold.isCold(w, nowMillis)).forEach(w -> coldServers.add(w.id()));
+        fullUntilMillis.keySet().removeIf(id -> !latest.containsKey(id) && !coldServers.contains(id));
     }
 
     private static boolean isOver(Statement statement, Long startMillis, long nowMillis) {
--- a/guavathread-core/src/main/java/org/guavathread/core/publish/ItemDecoder.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/ItemDecoder.java
@@ -39,8 +39,9 @@
      *
      * @param id the server
      * @param value the item's bytes
+     * @param nowMillis the current time, from which the durations in the entry count
      * @return the entry
      * @throws IllegalArgumentException if the bytes do not describe a valid server; the message gives the reason
      */
-    Worker server(BackendServerId id, byte[] value);
+    Worker server(BackendServerId id, byte[] value, long nowMillis);
 }
--- a/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
@@ -252,7 +252,7 @@
             }
             if (id.isPresent() && !event.isDeleted()) {
                 known.add(id.get());
-                versionOf(id.get(), event).ifPresent(versions::add);
+                versionOf(id.get(), event, nowMillis).ifPresent(versions::add);
             }
         }
         // The store may drop events sooner: a server that registered in that time must be among them.
@@ -267,9 +267,9 @@
         return !isCut;
     }
 
-    private Optional<VersionHistory.ServiceVersion> versionOf(BackendServerId id, StoreItem event) {
+    private Optional<VersionHistory.ServiceVersion> versionOf(BackendServerId id, StoreItem event, long nowMillis) {
         try {
-            return Optional.of(VersionHistory.ServiceVersion.of(decoder.server(id, event.value())));
+            return Optional.of(VersionHistory.ServiceVersion.of(decoder.server(id, event.value(), nowMillis)));
         } catch (IllegalArgumentException e) {
             // An unreadable entry names no server, so nothing was sent there.
             return Optional.empty();
@@ -329,7 +329,7 @@
             return;
         }
         try {
-            applyEntry(decoder.server(id, item.value()), item, nowMillis, changes);
+            applyEntry(decoder.server(id, item.value(), nowMillis), item, nowMillis, changes);
         } catch (IllegalArgumentException e) {
             unreadable++;
             registry.withdraw(id, nowMillis);
@@ -364,7 +364,10 @@
         if (!previous.equals(Optional.of(worker))) {
             String outcome = (worker.draining() ? "draining" : "usable") + " as "
                     + worker.stage().name().toLowerCase(java.util.Locale.ROOT) + " of " + worker.service() + " at "
-                    + worker.address() + ", version " + worker.softwareVersion();
+                    + worker.address() + ", version " + worker.softwareVersion()
+                    + (worker.coldUntilMillis() > nowMillis
+                            ? ", cold for " + (worker.coldUntilMillis() - nowMillis) + " ms"
+                            : "");
             changes.add(change("server", id.value(), outcome, item));
         }
     }
--- a/guavathread-core/src/main/java/org/guavathread/core/registry/Worker.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/registry/Worker.java
@@ -17,6 +17,7 @@
  * @param stage stage of a language request that it executes
  * @param softwareVersion version of its software
  * @param startedAtMillis start time of its process, in milliseconds since the epoch by its own clock; 0 if not given
+ * @param coldUntilMillis time of this host's clock until which it is cold by its own statement; 0 if it is warm
  */
 public record Worker(
         BackendServerId id,
@@ -27,7 +28,22 @@
         boolean draining,
         EngineStage stage,
         SoftwareVersion softwareVersion,
-        long startedAtMillis) {
+        long startedAtMillis,
+        long coldUntilMillis) {
+
+    /** Creates the entry of a server that does not state that it is cold. */
+    public Worker(
+            BackendServerId id,
+            ServiceName service,
+            SocketAddressText address,
+            DataCentreId dataCentre,
+            int slots,
+            boolean draining,
+            EngineStage stage,
+            SoftwareVersion softwareVersion,
+            long startedAtMillis) {
+        this(id, service, address, dataCentre, slots, draining, stage, softwareVersion, startedAtMillis, 0);
+    }
 
     /**
      * Returns the process that wrote this entry.
@@ -55,7 +71,8 @@
                 draining,
                 nextStage,
                 SoftwareVersion.unknownOf(new ServerProcess(id, nextStartedAtMillis)),
-                nextStartedAtMillis);
+                nextStartedAtMillis,
+                coldUntilMillis);
     }
 
     /**
@@ -64,6 +81,46 @@
      * @return the copy
      */
     public Worker leaving() {
-        return new Worker(id, service, address, dataCentre, slots, true, stage, softwareVersion, startedAtMillis);
+        return new Worker(
+                id,
+                service,
+                address,
+                dataCentre,
+                slots,
+                true,
+                stage,
+                softwareVersion,
+                startedAtMillis,
+                coldUntilMillis);
+    }
+
+    /**
+     * Returns a copy of this entry of a server that is cold.
+     *
+     * @param untilMillis time of this host's clock until which it is cold; 0 if it is warm
+     * @return the copy
+     */
+    public Worker coldUntil(long untilMillis) {
+        return new Worker(
+                id,
+                service,
+                address,
+                dataCentre,
+                slots,
+                draining,
+                stage,
+                softwareVersion,
+                startedAtMillis,
+                untilMillis);
+    }
+
+    /**
+     * Tells whether another entry describes the same server in the same state, but for how long it is cold.
+     *
+     * @param other the other entry
+     * @return true if it does
+     */
+    public boolean isSameButForCold(Worker other) {
+        return coldUntil(0).equals(other.coldUntil(0));
     }
 }
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/StatedLimitLoadTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/StatedLimitLoadTest.java
@@ -58,7 +58,7 @@
             new SoftwareVersion("v1"),
             1);
 
-    private final ServerLimits limits = new ServerLimits(new HostId("h1"));
+    private final ServerLimits limits = new ServerLimits(new HostId("h1"), new ColdServers(Optional.empty()));
 
     @ParameterizedTest
     @CsvSource({
@@ -103,14 +103,14 @@
         List<ServerLimits> hosts = new ArrayList<>();
         for (int i = 0; i < hostCount; i++) {
             ids.add(new HostId("h" + i));
-            hosts.add(new ServerLimits(ids.get(i)));
+            hosts.add(new ServerLimits(ids.get(i), new ColdServers(Optional.empty())));
         }
         hosts.forEach(h -> h.setHosts(ids, 1));
         int restarted = hostCount > 1 ? ownerOf(hosts, ids, perSecond) : -1;
         List<Long> sends = new ArrayList<>();
         for (long now = 0; now < END_MILLIS; now += STEP_MILLIS) {
             if (restarted >= 0 && now == BACK_MILLIS) {
-                hosts.set(restarted, new ServerLimits(ids.get(restarted)));
+                hosts.set(restarted, new ServerLimits(ids.get(restarted), new ColdServers(Optional.empty())));
             }
             int down = now >= RESTART_MILLIS && now < BACK_MILLIS ? restarted : -1;
             if (now % REPORT_INTERVAL_MILLIS == 0) {
@@ -132,24 +132,23 @@
 
     /** Returns the host that owns the limit; it is the one to restart. */
     private static int ownerOf(List<ServerLimits> hosts, List<HostId> ids, double perSecond) {
-        ServerLimits other = new ServerLimits(ids.get(0));
+        ServerLimits other = new ServerLimits(ids.get(0), new ColdServers(Optional.empty()));
         other.setHosts(ids, 1);
         other.state(SERVER.id(), OptionalDouble.of(perSecond), 0);
-        return ids.indexOf(other.ownerOf(SERVER.id()).orElseThrow());
+        return ids.indexOf(other.ownerOf(SERVER.id()));
     }
 
     private static boolean isGranted(List<ServerLimits> hosts, List<HostId> ids, int host, int down, long now) {
         ServerLimits asking = hosts.get(host);
-        Optional<HostId> owner = asking.ownerOf(SERVER.id());
-        if (owner.isEmpty()) {
+        Optional<PermitTerms> terms = asking.termsOf(SERVER, SendPurpose.WORK, now);
+        if (terms.isEmpty()) {
             return true;
         }
         if (asking.withRoom(List.of(SERVER), now).isEmpty()) {
             return false;
         }
-        int index = ids.indexOf(owner.get());
-        double perSecond = asking.limitOf(SERVER.id()).orElseThrow();
-        long roomInMillis = index == down ? SILENT_MILLIS : hosts.get(index).grant(SERVER.id(), perSecond, now);
+        int index = ids.indexOf(asking.ownerOf(SERVER.id()));
+        long roomInMillis = index == down ? SILENT_MILLIS : hosts.get(index).grant(SERVER.id(), terms.get(), now);
         if (roomInMillis > 0) {
             asking.refused(SERVER.id(), now + roomInMillis);
         }
@@ -182,31 +181,31 @@
     @Test
     void hostThatWasRefusedWaitsUntilItsTurn() {
         limits.state(SERVER.id(), OptionalDouble.of(1), 0);
-        long first = limits.grant(SERVER.id(), 1, 100);
-        long second = limits.grant(SERVER.id(), 1, 100);
+        long first = limits.grant(SERVER.id(), PermitTerms.stated(1), 100);
+        long second = limits.grant(SERVER.id(), PermitTerms.stated(1), 100);
         assertTrue(first > 0 && second > first, first + " and " + second);
         limits.refused(SERVER.id(), 100 + first);
         assertFalse(hasRoom(99 + first));
         assertEquals(1, limits.roomInMillis(List.of(SERVER), 99 + first));
         assertTrue(hasRoom(100 + first));
-        assertEquals(0, limits.grant(SERVER.id(), 1, 100 + first));
+        assertEquals(0, limits.grant(SERVER.id(), PermitTerms.stated(1), 100 + first));
     }
 
     @Test
     void serverThatTakesNothingGetsOneRequestInAWindow() {
         int granted = 0;
         for (long now = 0; now < END_MILLIS; now += STEP_MILLIS) {
-            granted += limits.grant(SERVER.id(), 0, now) == 0 ? 1 : 0;
+            granted += limits.grant(SERVER.id(), PermitTerms.stated(0), now) == 0 ? 1 : 0;
         }
         assertTrue(granted > 0 && granted <= END_MILLIS / WINDOW_MILLIS, granted + " requests");
     }
 
     @Test
     void newOwnerAssumesThatTheLimitIsInUse() {
-        assertTrue(limits.grant(SERVER.id(), 1, 0) > 0);
+        assertTrue(limits.grant(SERVER.id(), PermitTerms.stated(1), 0) > 0);
         limits.setHosts(List.of(new HostId("h2")), 1);
         limits.setHosts(List.of(new HostId("h1")), 1);
-        assertTrue(limits.grant(SERVER.id(), 1, 10_000) > 0);
+        assertTrue(limits.grant(SERVER.id(), PermitTerms.stated(1), 10_000) > 0);
     }
 
     @ParameterizedTest
@@ -215,9 +214,9 @@
         assertEquals(1, ServerLimits.windowSize(0, 1));
         assertTrue(ServerLimits.windowSize(perSecond, 1) <= 50_000);
         limits.state(SERVER.id(), OptionalDouble.of(perSecond), 0);
-        assertTrue(limits.ownerOf(SERVER.id()).isEmpty());
+        assertTrue(limits.termsOf(SERVER, SendPurpose.WORK, 0).isEmpty());
         limits.merge(List.of(new StatedLimit(SERVER.id(), perSecond, 0)), 10);
-        assertTrue(limits.ownerOf(SERVER.id()).isEmpty());
+        assertTrue(limits.termsOf(SERVER, SendPurpose.WORK, 0).isEmpty());
     }
 
     @Test
@@ -237,8 +236,8 @@
         assertEquals(1, limits.size(), "the limit was stated after the other host's answer");
         limits.merge(List.of(new StatedLimit(SERVER.id(), Double.POSITIVE_INFINITY, 50)), 1_300);
         assertEquals(0, limits.size());
-        assertTrue(limits.ownerOf(SERVER.id()).isEmpty() && hasRoom(1_300));
-        assertEquals(List.of(SERVER), limits.withoutLimit(List.of(SERVER)));
+        assertTrue(limits.termsOf(SERVER, SendPurpose.WORK, 0).isEmpty() && hasRoom(1_300));
+        assertEquals(List.of(SERVER), limits.withoutLimit(List.of(SERVER), 0));
     }
 
     @Test
--- a/guavathread-core/src/test/java/org/guavathread/core/publish/PublishedStateTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/publish/PublishedStateTest.java
@@ -52,7 +52,7 @@
 
         /** Decodes the state of a server, the start time of its process and its software version. */
         @Override
-        public Worker server(BackendServerId id, byte[] value) {
+        public Worker server(BackendServerId id, byte[] value, long nowMillis) {
             String[] words = text(value).split(" ");
             if (!List.of("ready", "draining").contains(words[0])) {
                 throw new IllegalArgumentException("no state");
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/ContextFactory.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/ContextFactory.java
@@ -5,6 +5,7 @@
 import java.util.function.BooleanSupplier;
 
 import org.guavathread.core.dispatch.AnswerDurationEstimator;
+import org.guavathread.core.dispatch.ColdServers;
 import org.guavathread.core.dispatch.CrashSuspects;
 import org.guavathread.core.dispatch.DrainAdmission;
 import org.guavathread.core.dispatch.EngineDispatch;
@@ -71,6 +72,7 @@
         PublishedState state =
                 new PublishedState(platform.itemDecoder(), MISSED_REPORTS * settings.serverReportMillis());
         ServerPauses pauses = new ServerPauses();
+        ColdServers coldServers = new ColdServers(settings.coldTolerance());
         GatewayMetrics metrics = new GatewayMetrics();
         BackendProtocol backendProtocol = platform.backendProtocol(isLeaving);
         return new GatewayContext(
@@ -82,9 +84,10 @@
                 loads,
                 health,
                 new ServerReach(),
-                new ServerLimits(settings.hostId()),
+                coldServers,
+                new ServerLimits(settings.hostId(), coldServers),
                 pauses,
-                new ServerNotices(loop, state, pauses, backendProtocol, log, metrics),
+                new ServerNotices(loop, state, pauses, coldServers, backendProtocol, log, metrics),
                 new PlainDispatch(settings.dataCentre(), loads, health, random.split()),
                 new EngineDispatch(loads, health, random.split()),
                 new AnswerDurationEstimator(),
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 
+import org.guavathread.core.dispatch.PermitTerms;
 import org.guavathread.core.dispatch.RolePlan;
 import org.guavathread.core.gossip.FleetView;
 import org.guavathread.core.gossip.GossipPacket;
@@ -252,6 +253,11 @@
                         "guavathread_limited_servers",
                         "Backend servers that state a limit on their requests.",
                         () -> callOnLoop(() -> context.serverLimits().size(), 0));
+        context.metrics()
+                .gauge(
+                        "guavathread_cold_servers",
+                        "Backend servers that are cold.",
+                        () -> callOnLoop(() -> context.coldServers().size(clock.nowMillis()), 0));
         context.metrics()
                 .gauge(
                         "guavathread_paused_servers",
@@ -287,9 +293,9 @@
 
     private byte[] permitPage(PageServer.Query query) {
         BackendServerId server = new BackendServerId(query.parameter(PermitRelay.SERVER));
-        double perSecond = Double.parseDouble(query.parameter(PermitRelay.PER_SECOND));
+        PermitTerms terms = PermitRelay.termsOf(query);
         return new PermitRelay()
-                .encode(new PermitRelay.Grant(context.serverLimits().grant(server, perSecond, clock.nowMillis())));
+                .encode(new PermitRelay.Grant(context.serverLimits().grant(server, terms, clock.nowMillis())));
     }
 
     private void stateConfirmed(List<StateChange> changes) {
@@ -361,6 +367,7 @@
 
     private void step() {
         stateSynchroniser.step();
+        context.coldServers().hearsOfChanges(context.state().registry().isSourceReachable());
         context.state().table().ifPresent(table -> callerBounds = table.bounds());
         boolean knowsState = context.state().table().isPresent();
         if (reporter.phase() == HostPhase.STARTING && knowsState && !waitsForWarmUp()) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/BackendClient.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/BackendClient.java
@@ -59,7 +59,7 @@
                 worker.address(),
                 request,
                 answer -> {
-                    context.reach().connected(worker.id(), openedAtMillis);
+                    connected(context, worker, openedAtMillis);
                     context.notices().heard(worker, request, answer.head());
                     onAnswer.accept(answer);
                 },
@@ -85,7 +85,7 @@
 
             @Override
             public void onHead(HttpHead head) {
-                context.reach().connected(worker.id(), openedAtMillis);
+                connected(context, worker, openedAtMillis);
                 context.notices().heard(worker, request, head);
                 receiver.onHead(head);
             }
@@ -117,10 +117,22 @@
         if (!isNotConnected(failure)) {
             return false;
         }
-        context.reach().notConnected(worker.id(), context.loop().nowMillis());
+        notConnected(context, worker);
         return context.isOutOfReach(worker.service());
     }
 
+    /** Records that a server has answered to a connection that was opened at a time. */
+    static void connected(GatewayContext context, Worker worker, long openedAtMillis) {
+        context.reach().connected(worker.id(), openedAtMillis);
+        context.coldServers().connected(worker, context.loop().nowMillis());
+    }
+
+    /** Records that no connection to a server could be opened. */
+    static void notConnected(GatewayContext context, Worker worker) {
+        context.reach().notConnected(worker.id(), context.loop().nowMillis());
+        context.coldServers().notConnected(worker);
+    }
+
     /** Sends a request to an address and buffers the complete answer. */
     static HttpCall sendTo(
             GatewayContext context,
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
@@ -12,6 +12,7 @@
 
 import org.guavathread.core.dispatch.CrashTrait;
 import org.guavathread.core.dispatch.PromptPart;
+import org.guavathread.core.dispatch.SendPurpose;
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.request.Refusal;
@@ -144,9 +145,9 @@
         return context.pauses().isPaused(server, now());
     }
 
-    /** Continues once a server's stated limit allows a request; a call that has ended meanwhile does not go on. */
-    void withPermit(Worker worker, Runnable granted, Runnable refused) {
-        permits.acquire(worker.id(), isGranted -> {
+    /** Continues once a server's limits allow a request; a call that has ended meanwhile does not go on. */
+    void withPermit(Worker worker, SendPurpose purpose, Runnable granted, Runnable refused) {
+        permits.acquire(worker, purpose, isGranted -> {
             if (isEnded()) {
                 return;
             }
@@ -155,10 +156,17 @@
             } else {
                 log("permit")
                         .with("server", worker.id())
+                        .with("purpose", purpose)
+                        .with("warmth", context.coldServers().warmthOf(worker, now()))
                         .with("outcome", "refused")
                         .with("roomInMillis", context.serverLimits().roomInMillis(List.of(worker), now()))
                         .write();
-                refused.run();
+                // Not at once: a host that owns the limits of many full servers would nest one call for each.
+                context.loop().execute(() -> {
+                    if (!isEnded()) {
+                        refused.run();
+                    }
+                });
             }
         });
     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineResources.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineResources.java
@@ -94,7 +94,7 @@
     /** Returns and forgets the reservation at an engine; releases it if it would expire before the run starts. */
     Optional<EngineReservation> takeReservation(Worker at) {
         Optional<EngineReservation> usable = reservation.filter(
-                r -> r.engine().equals(at) && now() < r.expiresAtMillis() - MIN_REMAINING_LIFETIME_MILLIS);
+                r -> r.engine().isSameButForCold(at) && now() < r.expiresAtMillis() - MIN_REMAINING_LIFETIME_MILLIS);
         if (usable.isEmpty()) {
             releaseReservation();
         }
@@ -122,9 +122,9 @@
         reservation = Optional.empty();
     }
 
-    /** Gives something back; if that fails, or the engine is in a pause, it expires soon. */
+    /** Gives something back; if that fails, or the engine is in a pause or cold, it expires soon. */
     private void sendAndForget(Worker engine, HttpRequest request) {
-        if (!context.pauses().isPaused(engine, now())) {
+        if (!context.pauses().isPaused(engine, now()) && !context.coldServers().isCold(engine, now())) {
             backendClient.send(engine, request, answer -> {}, failure -> {});
         }
     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineSelection.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineSelection.java
@@ -51,14 +51,16 @@
     }
 
     private Optional<EnginePlan> plan(List<Worker> engines, Set<BackendServerId> excluded, EngineWork work) {
+        long now = context.loop().nowMillis();
         return context.engineDispatch()
-                .choose(
+                .chooseWarmFirst(
                         engines,
+                        context.coldServers().notCold(engines, now),
                         excluded,
                         work,
                         engineTerms.memoryTokens(),
                         targetMillis,
-                        context.loop().nowMillis());
+                        now);
     }
 
     private static List<Worker> ofVersion(List<Worker> engines, SoftwareVersion version) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/GatewayContext.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/GatewayContext.java
@@ -4,6 +4,7 @@
 import java.util.random.RandomGenerator;
 
 import org.guavathread.core.dispatch.AnswerDurationEstimator;
+import org.guavathread.core.dispatch.ColdServers;
 import org.guavathread.core.dispatch.CrashSuspects;
 import org.guavathread.core.dispatch.DrainAdmission;
 import org.guavathread.core.dispatch.EngineDispatch;
@@ -39,7 +40,8 @@
  * @param loads current load of the backend servers
  * @param health health of the backend servers, from the outcomes of earlier requests
  * @param reach which servers this host can connect to
- * @param serverLimits request rates that backend servers state
+ * @param coldServers which backend servers are cold
+ * @param serverLimits request rates that backend servers state, and those of cold ones
  * @param pauses pauses that backend servers ask this host for
  * @param notices acts on what backend servers say of themselves in their answers
  * @param plainDispatch selects servers for plain requests
@@ -63,6 +65,7 @@
         ServerLoads loads,
         ServerHealth health,
         ServerReach reach,
+        ColdServers coldServers,
         ServerLimits serverLimits,
         ServerPauses pauses,
         ServerNotices notices,
@@ -92,13 +95,18 @@
     }
 
     /**
-     * Asks a backend server something on this host's own account, not through another host.
+     * Asks a backend server something on this host's own account, not through another host. Cold servers are not asked:
+     * what they take is left to requests.
      *
      * @param server the server
      * @param request the request
      * @param onEnd receives the answer, or the failure, on the event loop's thread
      */
     public void ask(Worker server, HttpRequest request, BiConsumer<HttpResponse, Throwable> onEnd) {
+        if (coldServers.isCold(server, loop.nowMillis())) {
+            onEnd.accept(null, new IllegalStateException("The server is cold."));
+            return;
+        }
         client.send(server.address(), request)
                 .whenComplete((answer, failure) -> loop.execute(() -> {
                     if (failure == null) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import org.guavathread.core.dispatch.SendPurpose;
 import org.guavathread.core.dispatch.ServerLoads;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.request.Refusal;
@@ -65,14 +66,14 @@
         if (chosen.isEmpty()) {
             refuseWithoutServer();
         } else {
-            withPermit(chosen.get(), () -> send(chosen.get()), this::send);
+            withPermit(chosen.get(), SendPurpose.WORK, () -> send(chosen.get()), this::send);
         }
     }
 
-    /** Returns the servers to choose from: those that state a limit only if no other has a free slot. */
+    /** Returns the servers to choose from: those that state a limit or are cold only if no other has a free slot. */
     private List<Worker> candidates() {
         List<Worker> available = serversWithoutPause();
-        List<Worker> unlimited = context.serverLimits().withoutLimit(available);
+        List<Worker> unlimited = context.serverLimits().withoutLimit(available, now());
         if (unlimited.size() == available.size()) {
             return unlimited;
         }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ProcessCheck.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ProcessCheck.java
@@ -77,7 +77,9 @@
 
     private void send(Worker expected, List<Consumer<Outcome>> asking) {
         long askedAtMillis = context.loop().nowMillis();
-        if (context.pauses().isPaused(expected, askedAtMillis) || isLeaving(expected)) {
+        if (context.pauses().isPaused(expected, askedAtMillis)
+                || context.coldServers().isCold(expected, askedAtMillis)
+                || isLeaving(expected)) {
             askStore(expected, outcome -> done(expected, outcome, asking));
             return;
         }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
@@ -14,9 +14,10 @@
 import org.guavathread.core.dispatch.CrashTrait;
 import org.guavathread.core.dispatch.EngineWork;
 import org.guavathread.core.dispatch.QueueDelay;
+import org.guavathread.core.dispatch.SendPurpose;
 import org.guavathread.core.dispatch.WaitingRank;
-import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.registry.SoftwareVersion;
+import org.guavathread.core.registry.Worker;
 import org.guavathread.core.request.Refusal;
 import org.guavathread.core.request.RefusalCode;
 import org.guavathread.core.routing.RouteRule;
@@ -74,7 +75,7 @@
         boolean decidesFor(String key);
     }
 
-    /** Permits for requests to servers that state a limit. */
+    /** Permits for requests to servers that state a limit or are cold. */
     @FunctionalInterface
     public interface Permits {
 
@@ -82,9 +83,10 @@
          * Asks whether one request may be sent to a server.
          *
          * @param server the server
-         * @param onResult receives the answer on the event loop's thread; at once if the server states no limit
+         * @param purpose what the request is for
+         * @param onResult receives the answer on the event loop's thread; at once if the server has no limit
          */
-        void acquire(BackendServerId server, Consumer<Boolean> onResult);
+        void acquire(Worker server, SendPurpose purpose, Consumer<Boolean> onResult);
     }
 
     /** Software versions of servers at which callers' streams began. */
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerNotices.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerNotices.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 
+import org.guavathread.core.dispatch.ColdServers;
 import org.guavathread.core.dispatch.ServerPauses;
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.publish.PublishedState;
@@ -26,6 +27,7 @@
     private final EventLoop loop;
     private final PublishedState state;
     private final ServerPauses pauses;
+    private final ColdServers coldServers;
     private final BackendProtocol protocol;
     private final DecisionLog log;
     private final GatewayMetrics metrics;
@@ -38,6 +40,7 @@
      * @param loop source of the time
      * @param state receives servers that leave
      * @param pauses receives servers that ask for a pause
+     * @param coldServers receives servers that are cold
      * @param protocol decodes notices
      * @param log receives a line for each notice
      * @param metrics counts notices
@@ -46,12 +49,14 @@
             EventLoop loop,
             PublishedState state,
             ServerPauses pauses,
+            ColdServers coldServers,
             BackendProtocol protocol,
             DecisionLog log,
             GatewayMetrics metrics) {
         this.loop = loop;
         this.state = state;
         this.pauses = pauses;
+        this.coldServers = coldServers;
         this.protocol = protocol;
         this.log = log;
         this.metrics = metrics;
@@ -90,6 +95,15 @@
                     .with("pauseMillis", until - now)
                     .write();
         });
+        notice.coldUntilMillis().ifPresent(until -> {
+            if (!coldServers.isCold(server, now)) {
+                metrics.serverNotice("cold");
+                entry(server, request, head, "cold")
+                        .with("coldMillis", until - now)
+                        .write();
+            }
+            coldServers.coldUntil(server.id(), until);
+        });
         if (!notice.unreadable().isEmpty()) {
             metrics.serverNotice("unreadable");
             if (unreadableLogged.add(server.id())) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerRelay.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerRelay.java
@@ -138,7 +138,7 @@
 
         @Override
         public void onHead(HttpHead head) {
-            context.reach().connected(worker.id(), openedAtMillis);
+            BackendClient.connected(context, worker, openedAtMillis);
             context.notices().heard(worker, request, head);
             out = exchange.openStream(head.status(), RelayProtocol.headersOfAnswer(head));
             if (out.isEmpty()) {
@@ -167,7 +167,7 @@
                 return;
             }
             if (BackendClient.isNotConnected(failure)) {
-                context.reach().notConnected(worker.id(), context.loop().nowMillis());
+                BackendClient.notConnected(context, worker);
             }
             if (out.isPresent()) {
                 out.get().abort();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -10,6 +10,7 @@
 import org.guavathread.core.dispatch.EnginePlan;
 import org.guavathread.core.dispatch.EngineWork;
 import org.guavathread.core.dispatch.FairAdmissionQueue;
+import org.guavathread.core.dispatch.SendPurpose;
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.registry.SoftwareVersion;
 import org.guavathread.core.registry.Worker;
@@ -45,6 +46,9 @@
     /** Minimum retry delay as a share of the maximum, because bursts last for some seconds. */
     private static final double MIN_RETRY_DELAY_SHARE = 0.5;
 
+    /** Age up to which a permit is used: with the transit, grants count for 500 ms longer than the arrivals. */
+    private static final long MAX_PERMIT_AGE_MILLIS = 300;
+
     private static final String CONTENT_TYPE = "Content-Type";
     private static final String NO_ENGINE_CAPACITY = "No engine has room.";
 
@@ -63,6 +67,7 @@
     private Optional<String> contentType = Optional.empty();
     private Optional<String> lastEventId;
     private boolean prefillTried;
+    private long permittedAtMillis;
     private long firstEventAtMillis;
     private long lastEventAtMillis;
     private int sends;
@@ -325,6 +330,11 @@
                 .with("queuedTokens", context.loads().promptTokens(decode.id()))
                 .with("remainingMillis", remainingMillis())
                 .write();
+        withPermit(decode, SendPurpose.RESERVATION, () -> reservePermitted(plan, separatePrefill), this::place);
+    }
+
+    private void reservePermitted(EnginePlan plan, boolean separatePrefill) {
+        Worker decode = plan.decode();
         boolean hasKvCache = out == null && resources.prefilledVersion().equals(Optional.of(decode.softwareVersion()));
         boolean prefillsItself = !separatePrefill && !hasKvCache;
         resources.addRunLoad(decode.id(), prefillsItself ? work.promptTokens() : 0, work.occupiedTokens());
@@ -389,14 +399,15 @@
         if (prefillLeft || !isUsable(plan.decode())) {
             placeAgain(prefillLeft ? plan.prefill().get() : plan.decode());
         } else {
-            withPermit(plan.decode(), () -> permitted(plan, separatePrefill), this::placeElsewhere);
+            withPermit(plan.decode(), SendPurpose.WORK, () -> permitted(plan, separatePrefill), this::placeElsewhere);
         }
     }
 
     private void permitted(EnginePlan plan, boolean separatePrefill) {
+        permittedAtMillis = now();
         if (separatePrefill) {
             Worker prefill = plan.prefill().get();
-            withPermit(prefill, () -> read(prefill, plan), () -> {
+            withPermit(prefill, SendPurpose.WORK, () -> read(prefill, plan), () -> {
                 resources.removePrefillLoad();
                 generate(plan.decode(), plan.expectedMillis());
             });
@@ -432,11 +443,19 @@
         place();
     }
 
+    /** Sends the run; if the engine is cold and its permit was granted too long ago, once it is granted anew. */
     void generate(Worker worker, double expectedMillis) {
         if (!isUsable(worker)) {
             placeAgain(worker);
-            return;
+        } else if (now() - permittedAtMillis > MAX_PERMIT_AGE_MILLIS
+                && context.coldServers().isCold(worker, now())) {
+            withPermit(worker, SendPurpose.WORK, () -> run(worker, expectedMillis), this::placeElsewhere);
+        } else {
+            run(worker, expectedMillis);
         }
+    }
+
+    private void run(Worker worker, double expectedMillis) {
         if (out == null && refusedAsCrashSuspect()) {
             return;
         }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/PermitClient.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/PermitClient.java
@@ -3,10 +3,13 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import org.guavathread.core.dispatch.PermitTerms;
+import org.guavathread.core.dispatch.SendPurpose;
 import org.guavathread.core.gossip.FleetView;
 import org.guavathread.core.gossip.HostReport;
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.id.HostId;
+import org.guavathread.core.registry.Worker;
 import org.guavathread.gateway.call.GatewayContext;
 import org.guavathread.gateway.call.RequestRouter;
 import org.guavathread.router.http.HttpResponse;
@@ -42,26 +45,27 @@
     }
 
     @Override
-    public void acquire(BackendServerId server, Consumer<Boolean> onResult) {
-        Optional<HostId> owner = context.serverLimits().ownerOf(server);
-        if (owner.isEmpty()) {
+    public void acquire(Worker worker, SendPurpose purpose, Consumer<Boolean> onResult) {
+        Optional<PermitTerms> terms = context.serverLimits().termsOf(worker, purpose, now());
+        if (terms.isEmpty()) {
             onResult.accept(true);
             return;
         }
-        double perSecond = context.serverLimits().limitOf(server).orElseThrow();
-        if (owner.get().equals(self)) {
-            answered(server, context.serverLimits().grant(server, perSecond, now()), onResult);
+        BackendServerId server = worker.id();
+        HostId owner = context.serverLimits().ownerOf(server);
+        if (owner.equals(self)) {
+            answered(server, context.serverLimits().grant(server, terms.get(), now()), onResult);
             return;
         }
         Optional<HostReport> peer = fleet.reachableHosts(now()).stream()
-                .filter(r -> r.host().equals(owner.get()))
+                .filter(r -> r.host().equals(owner))
                 .findFirst();
         if (peer.isEmpty()) {
             answered(server, OWNER_SILENT_MILLIS, onResult);
             return;
         }
         context.client()
-                .send(peer.get().peers(), relay.request(server, perSecond, now()))
+                .send(peer.get().peers(), relay.request(server, terms.get(), now()))
                 .whenComplete((answer, failure) -> context.loop()
                         .execute(() -> answered(server, roomInMillis(peer.get(), answer, failure), onResult)));
     }
@@ -86,6 +90,7 @@
         if (roomInMillis > 0) {
             context.serverLimits().refused(server, now() + roomInMillis);
         }
+        context.metrics().permit(roomInMillis == 0);
         onResult.accept(roomInMillis == 0);
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/PermitRelay.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/PermitRelay.java
@@ -2,10 +2,13 @@
 
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.util.OptionalDouble;
 
+import org.guavathread.core.dispatch.PermitTerms;
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.message.PeerMessage;
 import org.guavathread.router.http.HttpRequest;
+import org.guavathread.router.page.PageServer;
 import org.guavathread.wire.Frame;
 import org.guavathread.wire.FrameCodec;
 import org.guavathread.wire.MessageRegistry;
@@ -20,7 +23,13 @@
     public static final String SERVER = "server";
 
     /** Query parameter with the server's limit as the asking host knows it, in requests a second. */
-    public static final String PER_SECOND = "per-second";
+    private static final String PER_SECOND = "per-second";
+
+    /** Query parameter with what a cold server may be granted in a second; hosts of earlier builds do not read it. */
+    private static final String COLD_PER_SECOND = "cold-per-second";
+
+    /** Query parameter that tells whether the asking host knows that the server is cold. */
+    private static final String COLD_FOR_SURE = "cold-for-sure";
 
     private static final int GRANT_MESSAGE = 1;
 
@@ -57,17 +66,43 @@
         return (Grant) codec.decode(bytes).message();
     }
 
+    /**
+     * Reads the limits in a request for a permit.
+     *
+     * @param query the query of the request
+     * @return the server's limits as the asking host knows them
+     */
+    public static PermitTerms termsOf(PageServer.Query query) {
+        return new PermitTerms(
+                rateOf(query, PER_SECOND),
+                rateOf(query, COLD_PER_SECOND),
+                Boolean.parseBoolean(query.parameter(COLD_FOR_SURE)));
+    }
+
+    private static OptionalDouble rateOf(PageServer.Query query, String name) {
+        String text = query.parameter(name);
+        double rate = text.isEmpty() ? Double.POSITIVE_INFINITY : Double.parseDouble(text);
+        return Double.isInfinite(rate) ? OptionalDouble.empty() : OptionalDouble.of(rate);
+    }
+
     /**
      * Builds the request for a permit.
      *
      * @param server the server
-     * @param perSecond its limit
+     * @param terms its limits
      * @param nowMillis the current time
      * @return the request
      */
-    public HttpRequest request(BackendServerId server, double perSecond, long nowMillis) {
-        String query = "?" + SERVER + "=" + URLEncoder.encode(server.value(), StandardCharsets.UTF_8) + "&" + PER_SECOND
-                + "=" + perSecond;
+    public HttpRequest request(BackendServerId server, PermitTerms terms, long nowMillis) {
+        StringBuilder query = new StringBuilder("?" + SERVER + "=");
+        query.append(URLEncoder.encode(server.value(), StandardCharsets.UTF_8));
+        // Hosts of earlier builds require a stated limit; an infinite one binds nothing.
+        query.append("&" + PER_SECOND + "=").append(terms.statedPerSecond().orElse(Double.POSITIVE_INFINITY));
+        terms.coldPerSecond()
+                .ifPresent(rate -> query.append("&" + COLD_PER_SECOND + "=")
+                        .append(rate)
+                        .append("&" + COLD_FOR_SURE + "=")
+                        .append(terms.isColdForSure()));
         return HttpRequest.get(PATH + query)
                 .nonRepeatable()
                 .deadlineMillis(nowMillis + TIMEOUT_MILLIS)
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/RoleCoordinator.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/RoleCoordinator.java
@@ -78,6 +78,7 @@
                 Optional<RolePlan.Change> change =
                         plan.next(context.state().registry().usable(terms.name()));
                 change.filter(c -> !context.pauses().isPaused(c.engine(), now))
+                        .filter(c -> !context.coldServers().isCold(c.engine(), now))
                         .filter(c -> contactedEngines.add(c.engine().id()))
                         .ifPresent(this::requestReport);
             }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
@@ -14,6 +14,7 @@
 import org.guavathread.core.publish.StoreFollower;
 import org.guavathread.core.publish.StorePosition;
 import org.guavathread.core.registry.DepartureNotice;
+import org.guavathread.core.routing.RoutingTable;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.gateway.call.GatewayContext;
 import org.guavathread.gateway.protocol.StoreClient;
@@ -269,6 +270,11 @@
         if (!changes.isEmpty()) {
             context.health().retain(context.state().registry().ids());
             context.reach().retain(context.state().registry().ids());
+            context.coldServers()
+                    .update(
+                            context.state().table().map(RoutingTable::services).orElse(List.of()),
+                            context.state().registry().registered(),
+                            context.loop().nowMillis());
             context.serverLimits()
                     .retain(
                             context.state().registry().registered(),
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/log/GatewayMetrics.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/log/GatewayMetrics.java
@@ -47,6 +47,11 @@
             .help("Answers in which backend servers said that they leave or asked for a pause.")
             .labelNames("notice")
             .register(registry);
+    private final Counter permits = Counter.builder()
+            .name("guavathread_permits_total")
+            .help("Permits that this host asked for, to servers that state a limit or are cold, by outcome.")
+            .labelNames("outcome")
+            .register(registry);
     private final Counter unreadableMessages = Counter.builder()
             .name("guavathread_unreadable_messages_total")
             .help("Messages of other hosts that cannot be read, by whether their type is unknown.")
@@ -108,6 +113,15 @@
         sends.labelValues(step, result).inc();
     }
 
+    /**
+     * Counts a permit for a request to a server with a limit.
+     *
+     * @param isGranted whether the owner of the limit granted it
+     */
+    public void permit(boolean isGranted) {
+        permits.labelValues(isGranted ? "granted" : "refused").inc();
+    }
+
     /**
      * Counts a change of the published state.
      *
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/ServerNotice.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/ServerNotice.java
@@ -8,12 +8,15 @@
  *
  * @param isLeaving whether its process is about to end
  * @param pausedUntilMillis until when it wants no requests from this host, if it asks for a pause
+ * @param coldUntilMillis until when it is cold, if it says so
  * @param unreadable names of headers whose value could not be decoded; they have no effect
  */
-public record ServerNotice(boolean isLeaving, OptionalLong pausedUntilMillis, List<String> unreadable) {
+public record ServerNotice(
+        boolean isLeaving, OptionalLong pausedUntilMillis, OptionalLong coldUntilMillis, List<String> unreadable) {
 
     /** An answer without a notice. */
-    public static final ServerNotice NONE = new ServerNotice(false, OptionalLong.empty(), List.of());
+    public static final ServerNotice NONE =
+            new ServerNotice(false, OptionalLong.empty(), OptionalLong.empty(), List.of());
 
     /** Copies the list. */
     public ServerNotice {
@@ -26,6 +29,6 @@
      * @return true if there is nothing to act on or to report
      */
     public boolean isEmpty() {
-        return !isLeaving && pausedUntilMillis.isEmpty() && unreadable.isEmpty();
+        return !isLeaving && pausedUntilMillis.isEmpty() && coldUntilMillis.isEmpty() && unreadable.isEmpty();
     }
 }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/settings/GatewaySettings.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/settings/GatewaySettings.java
@@ -4,9 +4,11 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
 
+import org.guavathread.core.dispatch.ColdServers;
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.sheet.SocketAddressText;
@@ -60,6 +62,18 @@
     @Option(name = "--burst-allowance", metaVar = "N", usage = "tokens allowed beyond each workspace's burst")
     private double burstAllowance;
 
+    @Option(
+            name = "--cold-overshoot",
+            metaVar = "N",
+            usage = "multiple of a cold server's rate that is tolerated in one second; empty if servers are never cold")
+    private String coldOvershoot = "";
+
+    @Option(
+            name = "--cold-slack",
+            metaVar = "N",
+            usage = "requests to a cold server that are tolerated beside those; empty for none")
+    private String coldSlack = "";
+
     @Option(
             name = "--prefill-share",
             metaVar = "N",
@@ -119,6 +133,7 @@
         note(faults, this::seeds);
         note(faults, this::store);
         note(faults, this::logLevel);
+        note(faults, this::coldTolerance);
         if (retryRatio < 0 || retryExtra < 0 || retryWindowSeconds < 1 || burstAllowance < 0) {
             faults.add(
                     "--retry-ratio, --retry-extra, --retry-window-seconds and --burst-allowance cannot be negative.");
@@ -293,6 +308,32 @@
         return retryWindowSeconds * 1_000L;
     }
 
+    /**
+     * Returns what servers tolerate while they are cold.
+     *
+     * @return the tolerance, or empty if servers are never cold
+     */
+    public Optional<ColdServers.Tolerance> coldTolerance() {
+        if (coldOvershoot.isBlank()) {
+            return Optional.empty();
+        }
+        double slack = coldSlack.isBlank() ? 0 : nonNegative("--cold-slack", coldSlack);
+        return Optional.of(new ColdServers.Tolerance(nonNegative("--cold-overshoot", coldOvershoot), slack));
+    }
+
+    private static double nonNegative(String name, String text) {
+        double number;
+        try {
+            number = Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            number = Double.NaN;
+        }
+        if (!(number >= 0 && number < Double.POSITIVE_INFINITY)) {
+            throw new SettingException(name + " is \"" + text + "\"; it must be a number of 0 or more, or empty.");
+        }
+        return number;
+    }
+
     /**
      * Returns how many tokens may be admitted beyond each workspace's burst.
      *
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/warmup/WarmUp.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/warmup/WarmUp.java
@@ -159,7 +159,7 @@
         return new RequestRouter(
                 context,
                 new OnlyHost(),
-                (server, onResult) -> onResult.accept(true),
+                (server, purpose, onResult) -> onResult.accept(true),
                 new NoOrigins(),
                 new NoRelays(),
                 onDone -> onDone.accept(true));
--- a/guavathread-gateway/src/test/java/org/guavathread/gateway/fleet/MessageFormatTest.java
+++ b/guavathread-gateway/src/test/java/org/guavathread/gateway/fleet/MessageFormatTest.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import org.guavathread.core.dispatch.CrashTrait;
+import org.guavathread.core.dispatch.PermitTerms;
 import org.guavathread.core.dispatch.WaitingRank;
 import org.guavathread.core.gossip.GossipPacket;
 import org.guavathread.core.gossip.HostHeartbeat;
@@ -222,7 +223,13 @@
         assertEquals(new PermitRelay.Grant(300), relay.decode(HexFormat.of().parseHex("940100c2cd012c")));
         assertEquals(
                 "GET /permit?server=i-1%2F2&per-second=1.1",
-                relay.request(new BackendServerId("i-1/2"), 1.1, 0).toString());
+                relay.request(new BackendServerId("i-1/2"), PermitTerms.stated(1.1), 0)
+                        .toString());
+        assertEquals(
+                "GET /permit?server=i-1&per-second=Infinity&cold-per-second=15.0&cold-for-sure=true",
+                relay.request(new BackendServerId("i-1"), PermitTerms.cold(15), 0)
+                        .toString());
+        assertEquals(PermitTerms.stated(1.1), PermitRelay.termsOf(name -> "per-second".equals(name) ? "1.1" : ""));
     }
 
     @Test
