Merge the limits of cold servers

Beside the merge: GatewayContext.isSpared says in one place that a server in a pause, evacuated or cold gets nothing on a host's own account, and servers of a data centre count as possibly cold when its evacuation begins or ends.

--- a/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
@@ -29,8 +29,6 @@
     /** Maximum difference between the clocks of a host and a server, in milliseconds. */
     private static final long MAX_CLOCK_DIFFERENCE_MILLIS = 2_000;
 
-    private static final String EVACUATION = "evacuation";
-
     private final ItemDecoder decoder;
     private final long silenceMillis;
     private final WorkerRegistry registry = new WorkerRegistry();
@@ -105,7 +103,7 @@
 
     private void evacuationLost(DataCentreId dataCentre, StorePosition at, long nowMillis, List<StateChange> changes) {
         registry.evacuated().lost(dataCentre, nowMillis);
-        changes.add(new StateChange(EVACUATION, dataCentre.value(), "lost by the store, held", at.revision()));
+        changes.add(new StateChange(StateChange.EVACUATION, dataCentre.value(), "lost by the store, held", at.revision()));
     }
 
     private void beginEpoch(long nowMillis) {
@@ -225,7 +223,7 @@
         registry.evacuated()
                 .expire(nowMillis)
                 .forEach(e -> changes.add(
-                        new StateChange(EVACUATION, e.dataCentre().value(), "over, not written again", e.revision())));
+                        new StateChange(StateChange.EVACUATION, e.dataCentre().value(), "over, not written again", e.revision())));
         if (nowMillis >= outdatedUntilMillis) {
             Map<BackendServerId, StoreItem> released = Map.copyOf(withheld);
             withheld.clear();
@@ -275,7 +273,7 @@
             }
             if (id.isPresent() && !event.isDeleted()) {
                 known.add(id.get());
-                versionOf(id.get(), event).ifPresent(versions::add);
+                versionOf(id.get(), event, nowMillis).ifPresent(versions::add);
             }
         }
         // The store may drop events sooner: a server that registered in that time must be among them.
@@ -290,9 +288,9 @@
         return !isCut;
     }
 
-    private Optional<VersionHistory.ServiceVersion> versionOf(BackendServerId id, StoreItem event) {
+    private Optional<VersionHistory.ServiceVersion> versionOf(BackendServerId id, StoreItem event, long nowMillis) {
         try {
-            return Optional.of(VersionHistory.ServiceVersion.of(decoder.server(id, event.value())));
+            return Optional.of(VersionHistory.ServiceVersion.of(decoder.server(id, event.value(), nowMillis)));
         } catch (IllegalArgumentException e) {
             // An unreadable entry names no server, so nothing was sent there.
             return Optional.empty();
@@ -333,9 +331,9 @@
                     .count();
             String outcome = (isNew ? "in force" : "still in force")
                     + (servers == 0 ? ", no backend server is listed there" : ", backend servers: " + servers);
-            changes.add(change(EVACUATION, dataCentre.value(), outcome, item));
+            changes.add(change(StateChange.EVACUATION, dataCentre.value(), outcome, item));
         } else if (evacuated.end(dataCentre)) {
-            changes.add(change(EVACUATION, dataCentre.value(), "taken back", item));
+            changes.add(change(StateChange.EVACUATION, dataCentre.value(), "taken back", item));
         }
     }
 
@@ -368,7 +366,7 @@
             return;
         }
         try {
-            applyEntry(decoder.server(id, item.value()), item, nowMillis, changes);
+            applyEntry(decoder.server(id, item.value(), nowMillis), item, nowMillis, changes);
         } catch (IllegalArgumentException e) {
             unreadable++;
             registry.withdraw(id, nowMillis);
@@ -403,7 +401,10 @@
         if (!previous.equals(Optional.of(worker))) {
             String outcome = (worker.draining() ? "draining" : "usable") + " as "
                     + worker.stage().name().toLowerCase(java.util.Locale.ROOT) + " of " + worker.service() + " at "
-                    + worker.address() + ", version " + worker.softwareVersion();
+                    + worker.address() + ", version " + worker.softwareVersion()
+                    + (worker.coldUntilMillis() > nowMillis
+                            ? ", cold for " + (worker.coldUntilMillis() - nowMillis) + " ms"
+                            : "");
             changes.add(change("server", id.value(), outcome, item));
         }
     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineResources.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineResources.java
@@ -94,7 +94,7 @@
     /** Returns and forgets the reservation at an engine; releases it if it would expire before the run starts. */
     Optional<EngineReservation> takeReservation(Worker at) {
         Optional<EngineReservation> usable = reservation.filter(
-                r -> r.engine().equals(at) && now() < r.expiresAtMillis() - MIN_REMAINING_LIFETIME_MILLIS);
+                r -> r.engine().isSameButForCold(at) && now() < r.expiresAtMillis() - MIN_REMAINING_LIFETIME_MILLIS);
         if (usable.isEmpty()) {
             releaseReservation();
         }
@@ -122,10 +122,9 @@
         reservation = Optional.empty();
     }
 
-    /** Gives something back; if that fails, or the engine is in a pause or evacuated, it expires soon. */
+    /** Gives something back; if that fails, or the engine is to be spared, it expires soon. */
     private void sendAndForget(Worker engine, HttpRequest request) {
-        if (!context.pauses().isPaused(engine, now())
-                && !context.state().registry().isEvacuated(engine)) {
+        if (!context.isSpared(engine, now())) {
             backendClient.send(engine, request, answer -> {}, failure -> {});
         }
     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ProcessCheck.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ProcessCheck.java
@@ -77,9 +77,7 @@
 
     private void send(Worker expected, List<Consumer<Outcome>> asking) {
         long askedAtMillis = context.loop().nowMillis();
-        if (context.pauses().isPaused(expected, askedAtMillis)
-                || isLeaving(expected)
-                || context.state().registry().isEvacuated(expected)) {
+        if (context.isSpared(expected, askedAtMillis) || isLeaving(expected)) {
             askStore(expected, outcome -> done(expected, outcome, asking));
             return;
         }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
@@ -7,6 +7,7 @@
 
 import org.guavathread.core.gossip.FleetView;
 import org.guavathread.core.gossip.HostReport;
+import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.publish.PublishedState;
 import org.guavathread.core.publish.StartSynchronisation;
 import org.guavathread.core.publish.StateChange;
@@ -14,6 +15,8 @@
 import org.guavathread.core.publish.StoreFollower;
 import org.guavathread.core.publish.StorePosition;
 import org.guavathread.core.registry.DepartureNotice;
+import org.guavathread.core.registry.Worker;
+import org.guavathread.core.routing.RoutingTable;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.gateway.call.GatewayContext;
 import org.guavathread.gateway.protocol.StoreClient;
@@ -269,6 +272,12 @@
         if (!changes.isEmpty()) {
             context.health().retain(context.state().registry().ids());
             context.reach().retain(context.state().registry().ids());
+            context.coldServers()
+                    .update(
+                            context.state().table().map(RoutingTable::services).orElse(List.of()),
+                            context.state().registry().registered(),
+                            context.loop().nowMillis());
+            changes.forEach(change -> change.evacuation().ifPresent(this::mayHaveBecomeCold));
             context.serverLimits()
                     .retain(
                             context.state().registry().registered(),
@@ -277,4 +286,12 @@
             onChange.run();
         }
     }
+
+    /** Servers of a data centre that is evacuated or taken back may be cold without having said so yet. */
+    private void mayHaveBecomeCold(DataCentreId dataCentre) {
+        List<Worker> servers = context.state().registry().registered().stream()
+                .filter(w -> w.dataCentre().equals(dataCentre))
+                .toList();
+        context.coldServers().mayHaveBecomeCold(servers, context.loop().nowMillis());
+    }
 }
