--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/EngineDispatch.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/EngineDispatch.java
@@ -38,9 +38,6 @@
      */
     private static final double LOCAL_PREFILL_MAX_UTILISATION = 0.25;
 
-    /** Memory utilisation above which an engine is not a candidate: answers that outgrow it preempt others. */
-    private static final double MAX_UTILISATION = 0.9;
-
     /** Utilisation up to which a refusal has another reason than the load, such as a server that stops. */
     private static final double ROOM_EXPECTED_UTILISATION = 0.6;
 
@@ -99,12 +96,35 @@
             int memoryTokens,
             long targetMillis,
             long nowMillis) {
+        return choose(servers, tried, work, memoryTokens, targetMillis, RoomLimit.NONE_KEPT, nowMillis);
+    }
+
+    /**
+     * Chooses the engines of a request that leaves room to more urgent ones.
+     *
+     * @param servers the engines of the service that accept new requests
+     * @param tried decode engines to which the request has already been sent
+     * @param work size of the request
+     * @param memoryTokens tokens that the memory of one engine holds
+     * @param targetMillis latency target of the first token, in milliseconds
+     * @param limit how far the request may fill the engines
+     * @param nowMillis the current time
+     * @return the plan, or empty if by the latest reports no untried decode engine has free memory
+     */
+    public Optional<EnginePlan> choose(
+            Collection<Worker> servers,
+            Set<BackendServerId> tried,
+            EngineWork work,
+            int memoryTokens,
+            long targetMillis,
+            RoomLimit limit,
+            long nowMillis) {
         List<Worker> decodeEngines = servers.stream()
                 .filter(w -> w.stage().generates() && !tried.contains(w.id()))
                 .toList();
         List<Worker> candidates = health.preferred(decodeEngines, nowMillis).stream()
-                .filter(w ->
-                        !health.isFull(w.id(), nowMillis) && utilisationWith(w, work, memoryTokens) <= MAX_UTILISATION)
+                .filter(w -> !health.isFull(w.id(), nowMillis)
+                        && utilisationWith(w, work, memoryTokens) <= limit.maxUtilisation(w.id()))
                 .toList();
         if (candidates.isEmpty()) {
             return Optional.empty();
--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/FairAdmissionQueue.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/FairAdmissionQueue.java
@@ -1,19 +1,27 @@
 package org.guavathread.core.dispatch;
 
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.guavathread.core.id.WorkspaceId;
+import org.guavathread.core.routing.Priority;
 import org.guavathread.core.share.FairShareTracker;
 
 /**
  * Admission queue of one host, for requests that wait for engine memory when a burst exceeds the engines' capacity.
- * Requests that can still meet their latency target go first, since a late answer is worth little to its caller. Among
- * those, requests of workspaces within their fair share go first, so that a burst of a workspace delays only its own
- * requests; ties are served in order of arrival. A request that would expire before its turn is rejected.
+ * The request goes first that costs its caller most to delay ({@link CostOrder}); ties are served in order of arrival. A
+ * request that would expire before its turn is rejected, also one that was queued already if more urgent ones have come
+ * before it. Each priority is guaranteed a part of what is admitted while its requests wait.
  *
  * <p>Streams that go on after an interruption have a lane of their own, in order of arrival, which goes first: their callers
  * lose what they have received otherwise. As only some engines can serve them, the two lanes never wait for each other.
@@ -31,18 +39,48 @@
     /**
      * Attributes of a request that decide its order in the queue and its expiry.
      *
-     * @param workspace the workspace that sent the request
-     * @param arrivedAtMillis time of its arrival
-     * @param onTimeUntilMillis latest time of admission at which it still meets its latency target
-     * @param expiresAtMillis time at which it expires, because its caller gives up
+     * @param standing its priority, workspace, times and work
      * @param lane where it waits
      */
-    public record Attributes(
-            Optional<WorkspaceId> workspace,
-            long arrivedAtMillis,
-            long onTimeUntilMillis,
-            long expiresAtMillis,
-            Lane lane) {}
+    public record Attributes(CostOrder.Standing standing, Lane lane) {
+
+        /**
+         * Creates the attributes of a request of a service whose requests all have the same priority.
+         *
+         * @param workspace the workspace that sent the request
+         * @param arrivedAtMillis time of its arrival
+         * @param onTimeUntilMillis latest time of admission at which it still meets its latency target
+         * @param expiresAtMillis time at which it expires, because its caller gives up
+         * @param lane where it waits
+         */
+        public Attributes(
+                Optional<WorkspaceId> workspace,
+                long arrivedAtMillis,
+                long onTimeUntilMillis,
+                long expiresAtMillis,
+                Lane lane) {
+            this(
+                    CostOrder.Standing.arrivedAt(arrivedAtMillis)
+                            .workspace(workspace)
+                            .until(onTimeUntilMillis, expiresAtMillis)
+                            .build(),
+                    lane);
+        }
+
+        private boolean hasPriorityOf(Attributes other) {
+            return standing.priority().equals(other.standing.priority());
+        }
+    }
+
+    /**
+     * A waiting request that cannot be admitted in time any more.
+     *
+     * @param request the request
+     * @param ahead the request for which it is refused; empty if it has expired
+     * @param cost its cost
+     * @param <T> type of the queued requests
+     */
+    public record Hopeless<T>(T request, Optional<T> ahead, CallerCost cost) {}
 
     /** Requests that wait for the same engines; the first lane goes first. */
     public enum Lane {
@@ -52,8 +90,15 @@
         NEW
     }
 
+    /**
+     * Part of the expected time until its turn after which a waiting request has to be admitted; the interval between
+     * admissions varies by about this factor within a burst.
+     */
+    private static final double TURN_ESTIMATE_SHARE = 0.5;
+
     private final Map<T, Attributes> queued = new LinkedHashMap<>();
-    private final FairShareTracker shares;
+    private final CostOrder order;
+    private final GuaranteedShares guaranteed = new GuaranteedShares();
     private double intervalMillis = INITIAL_INTERVAL_MILLIS;
     private long lastAdmissionMillis;
 
@@ -63,7 +108,7 @@
      * @param shares recent usage of the workspaces
      */
     public FairAdmissionQueue(FairShareTracker shares) {
-        this.shares = shares;
+        this.order = new CostOrder(shares);
     }
 
     /**
@@ -76,14 +121,14 @@
      */
     public boolean add(T request, Attributes attributes, long nowMillis) {
         if (queued.containsKey(request)) {
-            return nowMillis < attributes.expiresAtMillis();
+            return nowMillis < attributes.standing().expiresAtMillis();
         }
-        WaitingRank rank = rankOf(attributes, nowMillis);
+        CallerCost cost = costOf(attributes, nowMillis);
         long ahead = queued.values().stream()
                 .filter(other -> other.lane() == attributes.lane())
-                .filter(other -> !rankOf(other, nowMillis).ranksBelow(rank))
+                .filter(other -> costOf(other, nowMillis).compareTo(cost) <= 0)
                 .count();
-        if (nowMillis + ahead * intervalMillis >= attributes.expiresAtMillis()) {
+        if (nowMillis + ahead * intervalMillis >= attributes.standing().expiresAtMillis()) {
             return false;
         }
         queued.put(request, attributes);
@@ -97,7 +142,8 @@
      * @param nowMillis the current time
      */
     public void admitted(T request, long nowMillis) {
-        if (queued.remove(request) == null) {
+        Attributes attributes = queued.remove(request);
+        if (attributes == null) {
             return;
         }
         if (lastAdmissionMillis > 0) {
@@ -116,6 +162,19 @@
         queued.remove(request);
     }
 
+    /**
+     * Counts a request that was admitted, whether it was queued or not.
+     *
+     * @param attributes its scheduling attributes
+     * @param nowMillis the current time
+     */
+    public void countAdmission(Attributes attributes, long nowMillis) {
+        if (attributes.lane() == Lane.NEW) {
+            guaranteed.admitted(
+                    attributes.standing().level(), attributes.standing().workTokens(), nowMillis);
+        }
+    }
+
     /**
      * Returns the request of a lane to admit next.
      *
@@ -125,15 +184,64 @@
      * @return the request, or empty if none is queued or another host has a new one of a better rank
      */
     public Optional<T> first(Lane lane, WaitingRank elsewhere, long nowMillis) {
-        Comparator<Map.Entry<T, Attributes>> byRank = Comparator.comparing(e -> rankOf(e.getValue(), nowMillis));
-        return queued.entrySet().stream()
-                .filter(e -> e.getValue().lane() == lane)
-                .min(byRank.thenComparingLong(e -> e.getValue().arrivedAtMillis()))
+        return first(lane, priority -> elsewhere, nowMillis);
+    }
+
+    /**
+     * Returns the request of a lane to admit next.
+     *
+     * @param lane the lane
+     * @param elsewhere best rank, by priority, of the new requests that are queued at other hosts
+     * @param nowMillis the current time
+     * @return the request, or empty if none is queued or another host has a new one of a better rank
+     */
+    public Optional<T> first(Lane lane, Function<Optional<Priority>, WaitingRank> elsewhere, long nowMillis) {
+        Set<Priority> waiting = queued.values().stream()
+                .filter(attributes -> attributes.lane() == lane)
+                .map(attributes -> attributes.standing().level())
+                .collect(Collectors.toSet());
+        Optional<Priority> owed = waiting.size() > 1 ? guaranteed.owed(waiting, nowMillis) : Optional.empty();
+        return dearest(lane, each -> owed.isEmpty() || each.level().equals(owed.get()), elsewhere, nowMillis);
+    }
+
+    /**
+     * Returns the request that may be admitted although a more urgent one finds no room: it may be smaller, or room may be
+     * kept that only the more urgent one may use.
+     *
+     * @param failed priority of the request that found no room
+     * @param elsewhere best rank, by priority, of the new requests that are queued at other hosts
+     * @param nowMillis the current time
+     * @return the dearest new request that is less urgent
+     */
+    public Optional<T> firstLessUrgentThan(
+            Priority failed, Function<Optional<Priority>, WaitingRank> elsewhere, long nowMillis) {
+        return dearest(Lane.NEW, each -> failed.isMoreUrgentThan(each.level()), elsewhere, nowMillis);
+    }
+
+    private Optional<T> dearest(
+            Lane lane,
+            Predicate<CostOrder.Standing> among,
+            Function<Optional<Priority>, WaitingRank> elsewhere,
+            long nowMillis) {
+        return inOrder(lane, nowMillis)
+                .filter(e -> among.test(e.getValue().standing()))
+                .findFirst()
                 .filter(e -> lane == Lane.CONTINUATION
-                        || !rankOf(e.getValue(), nowMillis).ranksBelow(elsewhere))
+                        || !costOf(e.getValue(), nowMillis)
+                                .need()
+                                .rank()
+                                .ranksBelow(
+                                        elsewhere.apply(e.getValue().standing().priority())))
                 .map(Map.Entry::getKey);
     }
 
+    private Stream<Map.Entry<T, Attributes>> inOrder(Lane lane, long nowMillis) {
+        Comparator<Map.Entry<T, Attributes>> byCost = Comparator.comparing(e -> costOf(e.getValue(), nowMillis));
+        return queued.entrySet().stream()
+                .filter(e -> e.getValue().lane() == lane)
+                .sorted(byCost.thenComparingLong(e -> e.getValue().standing().arrivedAtMillis()));
+    }
+
     /**
      * Returns the requests that have expired.
      *
@@ -142,21 +250,54 @@
      */
     public List<T> expired(long nowMillis) {
         return queued.entrySet().stream()
-                .filter(e -> nowMillis >= e.getValue().expiresAtMillis())
+                .filter(e -> nowMillis >= e.getValue().standing().expiresAtMillis())
                 .map(Map.Entry::getKey)
                 .toList();
     }
 
-    private WaitingRank rankOf(Attributes attributes, long nowMillis) {
-        if (attributes.lane() == Lane.CONTINUATION) {
-            return WaitingRank.ON_TIME;
-        }
-        if (nowMillis > attributes.onTimeUntilMillis()) {
-            return WaitingRank.LATE;
+    /**
+     * Returns the requests that will expire before their turn, because more urgent ones have been queued before them.
+     *
+     * @param nowMillis the current time
+     * @return requests to refuse now
+     */
+    public List<Hopeless<T>> overtaken(long nowMillis) {
+        List<Hopeless<T>> hopeless = new ArrayList<>();
+        Optional<Map.Entry<T, Attributes>> ahead = Optional.empty();
+        int position = 0;
+        for (Map.Entry<T, Attributes> e : inOrder(Lane.NEW, nowMillis).toList()) {
+            CostOrder.Standing standing = e.getValue().standing();
+            double turnMillis = nowMillis + TURN_ESTIMATE_SHARE * position * intervalMillis;
+            boolean isOvertaken = ahead.isPresent()
+                    && ahead.get().getValue().standing().level().isMoreUrgentThan(standing.level());
+            if (isOvertaken && turnMillis >= standing.expiresAtMillis()) {
+                hopeless.add(new Hopeless<>(e.getKey(), ahead.map(Map.Entry::getKey), costOf(e.getValue(), nowMillis)));
+            } else {
+                position++;
+                ahead = ahead.or(() -> Optional.of(e));
+            }
         }
-        return shares.isAboveFairShare(attributes.workspace(), nowMillis)
-                ? WaitingRank.ON_TIME_ABOVE_PART
-                : WaitingRank.ON_TIME;
+        return hopeless;
+    }
+
+    private CallerCost costOf(Attributes attributes, long nowMillis) {
+        return attributes.lane() == Lane.CONTINUATION
+                ? new CallerCost(attributes.standing().level(), CallerCost.Need.ON_TIME)
+                : order.costOf(attributes.standing(), nowMillis);
+    }
+
+    /**
+     * Returns what the new requests cost that are queued.
+     *
+     * @param nowMillis the current time
+     * @return their standings, each with its cost
+     */
+    public Map<CostOrder.Standing, CallerCost> costs(long nowMillis) {
+        Map<CostOrder.Standing, CallerCost> costs = new IdentityHashMap<>();
+        queued.values().stream()
+                .filter(attributes -> attributes.lane() == Lane.NEW)
+                .forEach(attributes -> costs.put(attributes.standing(), costOf(attributes, nowMillis)));
+        return costs;
     }
 
     /**
@@ -166,26 +307,26 @@
      * @return the rank; {@link WaitingRank#NONE} if the queue is empty
      */
     public WaitingRank bestRank(long nowMillis) {
-        return bestRank(Lane.NEW, nowMillis);
-    }
-
-    private WaitingRank bestRank(Lane lane, long nowMillis) {
         return queued.values().stream()
-                .filter(attributes -> attributes.lane() == lane)
-                .map(attributes -> rankOf(attributes, nowMillis))
+                .filter(attributes -> attributes.lane() == Lane.NEW)
+                .map(attributes -> costOf(attributes, nowMillis).need().rank())
                 .min(Comparator.naturalOrder())
                 .orElse(WaitingRank.NONE);
     }
 
     /**
-     * Tells whether a new request must queue behind others.
+     * Tells whether a new request must queue behind others. More urgent ones that wait do not hold it up: room is kept for
+     * them.
      *
      * @param attributes its scheduling attributes
      * @param nowMillis the current time
-     * @return true if a request of the same or a better rank is queued in its lane
+     * @return true if a request of its priority, and of the same or a better rank, is queued in its lane
      */
     public boolean mustQueue(Attributes attributes, long nowMillis) {
-        return !bestRank(attributes.lane(), nowMillis).ranksBelow(rankOf(attributes, nowMillis));
+        CallerCost cost = costOf(attributes, nowMillis);
+        return queued.values().stream()
+                .filter(other -> other.lane() == attributes.lane() && other.hasPriorityOf(attributes))
+                .anyMatch(other -> costOf(other, nowMillis).compareTo(cost) <= 0);
     }
 
     /**
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/KeptRoom.java
@@ -0,0 +1,75 @@
+package org.guavathread.core.dispatch;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.guavathread.core.hash.RendezvousHash;
+import org.guavathread.core.id.BackendServerId;
+import org.guavathread.core.registry.Worker;
+import org.guavathread.core.routing.Priority;
+import org.guavathread.core.routing.ServiceName;
+
+/**
+ * Keeps some engines free for urgent requests, so that a burst of less urgent ones cannot fill all of them before the next
+ * urgent one arrives, and many small requests leave memory in one piece for large ones. Less urgent requests do not use these
+ * engines at all: hosts know the load of an engine some hundred milliseconds late, so together they would exceed any part of
+ * it that they may fill. Hosts choose the same engines by rendezvous hashing; the number of engines follows the recent demand
+ * of the more urgent requests. A host that hears nothing keeps engines for its own urgent requests only. Not thread-safe.
+ */
+public final class KeptRoom {
+
+    /** Part of the engines that is kept at most, so that less urgent requests are served as well. */
+    private static final double MAX_KEPT_SHARE = 0.6;
+
+    /** Room that is kept as a multiple of the recent demand, which reports show some hundred milliseconds late. */
+    private static final double MARGIN = 1.25;
+
+    private record KeptEngines(List<BackendServerId> engines, int count, Set<BackendServerId> kept) {}
+
+    private final PriorityDemand demand;
+    private final Map<ServiceName, KeptEngines> latest = new HashMap<>();
+
+    /**
+     * Creates the decision.
+     *
+     * @param demand requests of all hosts by priority
+     */
+    public KeptRoom(PriorityDemand demand) {
+        this.demand = demand;
+    }
+
+    /**
+     * Returns how far a request may fill the engines of its service.
+     *
+     * @param service the service
+     * @param priority priority of the request
+     * @param engines the engines that generate answers for the service
+     * @param memoryTokens tokens that the memory of one engine holds
+     * @return the limit for each engine
+     */
+    public RoomLimit limitFor(ServiceName service, Priority priority, List<Worker> engines, int memoryTokens) {
+        PriorityDemand.Demand urgent = demand.moreUrgentThan(service, priority);
+        double requestsOfAnEngine =
+                Math.max(1, Math.floor(RoomLimit.MAX_UTILISATION * memoryTokens / Math.max(1, urgent.tokens())));
+        int wanted = (int) Math.ceil(MARGIN * urgent.requests() / requestsOfAnEngine);
+        int count = Math.min((int) (MAX_KEPT_SHARE * engines.size()), wanted);
+        if (count == 0) {
+            return RoomLimit.NONE_KEPT;
+        }
+        Set<BackendServerId> kept =
+                kept(service, engines.stream().map(Worker::id).toList(), count);
+        return engine -> kept.contains(engine) ? 0 : RoomLimit.MAX_UTILISATION;
+    }
+
+    private Set<BackendServerId> kept(ServiceName service, List<BackendServerId> engines, int count) {
+        KeptEngines known = latest.get(service);
+        if (known == null || known.count() != count || !known.engines().equals(engines)) {
+            List<BackendServerId> ranked = RendezvousHash.rank(service.value(), engines, BackendServerId::value);
+            known = new KeptEngines(engines, count, Set.copyOf(ranked.subList(0, count)));
+            latest.put(service, known);
+        }
+        return known.kept();
+    }
+}
--- /dev/null
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/PriorityDemand.java
@@ -0,0 +1,117 @@
+package org.guavathread.core.dispatch;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.guavathread.core.gossip.HostReport.PriorityLoad;
+import org.guavathread.core.routing.Priority;
+import org.guavathread.core.routing.ServiceName;
+
+/**
+ * Requests of all hosts that run or wait, by priority, for services whose requests have different priorities. Counts fall
+ * slowly, since urgent requests come one at a time and the next one arrives before long. Not thread-safe.
+ */
+public final class PriorityDemand {
+
+    /** Half-life of a demand that is over: several times the duration of a language request. */
+    private static final double HALF_LIFE_MILLIS = 6_000;
+
+    /**
+     * Requests of one or more priorities.
+     *
+     * @param requests number of those that run or can still be on time
+     * @param tokens tokens of memory that one of them occupies
+     */
+    public record Demand(double requests, double tokens) {
+
+        /** No requests. */
+        public static final Demand NONE = new Demand(0, 0);
+
+        private Demand plus(Demand other) {
+            return new Demand(requests + other.requests, Math.max(tokens, other.tokens));
+        }
+    }
+
+    private record Level(ServiceName service, Priority priority) {}
+
+    private Map<Level, PriorityLoad> elsewhere = Map.of();
+    private final Map<Level, Demand> peaks = new HashMap<>();
+    private long updatedAtMillis;
+
+    /**
+     * Replaces what is known.
+     *
+     * @param own load of this host
+     * @param others recent reports of the other hosts
+     * @param nowMillis the current time
+     */
+    public void update(List<PriorityLoad> own, List<PriorityLoad> others, long nowMillis) {
+        elsewhere = sums(others);
+        Map<Level, PriorityLoad> all = new HashMap<>(elsewhere);
+        sums(own).forEach((level, load) -> all.merge(level, load, PriorityLoad::plus));
+        double factor = Math.pow(0.5, Math.max(0, nowMillis - updatedAtMillis) / HALF_LIFE_MILLIS);
+        updatedAtMillis = nowMillis;
+        peaks.replaceAll((level, peak) -> new Demand(peak.requests() * factor, peak.tokens()));
+        peaks.values().removeIf(peak -> peak.requests() < 0.5);
+        all.forEach((level, load) -> peaks.merge(level, demandOf(load), PriorityDemand::higher));
+    }
+
+    private static Map<Level, PriorityLoad> sums(List<PriorityLoad> loads) {
+        Map<Level, PriorityLoad> sums = new HashMap<>();
+        loads.forEach(load -> sums.merge(new Level(load.service(), load.priority()), load, PriorityLoad::plus));
+        return sums;
+    }
+
+    /** A large request that waits needs its whole size, while those that run need their mean. */
+    private static Demand demandOf(PriorityLoad load) {
+        double mean = load.running() == 0 ? 0 : load.heldTokens() / (double) load.running();
+        return new Demand(
+                load.running() + load.onTime() + load.aboveShare(), Math.max(mean, load.largestWaitingTokens()));
+    }
+
+    private static Demand higher(Demand decayed, Demand current) {
+        double tokens = current.tokens() > 0 ? current.tokens() : decayed.tokens();
+        return new Demand(Math.max(decayed.requests(), current.requests()), tokens);
+    }
+
+    /**
+     * Returns the demand of the requests that are more urgent than a priority.
+     *
+     * @param service the service
+     * @param priority the priority
+     * @return the highest recent demand
+     */
+    public Demand moreUrgentThan(ServiceName service, Priority priority) {
+        return peaks.entrySet().stream()
+                .filter(e -> e.getKey().service().equals(service))
+                .filter(e -> e.getKey().priority().isMoreUrgentThan(priority))
+                .map(Map.Entry::getValue)
+                .reduce(Demand.NONE, Demand::plus);
+    }
+
+    /**
+     * Returns the best rank of the requests of one priority that wait at other hosts.
+     *
+     * @param service the service
+     * @param priority the priority
+     * @return the rank
+     */
+    public WaitingRank bestElsewhere(ServiceName service, Priority priority) {
+        PriorityLoad load = elsewhere.get(new Level(service, priority));
+        return load == null ? WaitingRank.NONE : load.best();
+    }
+
+    /**
+     * Returns the largest demand of the most urgent requests, for metrics.
+     *
+     * @return number of requests
+     */
+    public double mostUrgentRequests() {
+        return peaks.entrySet().stream()
+                .min(Comparator.comparing(e -> e.getKey().priority()))
+                .map(e -> e.getValue().requests())
+                .orElse(0.0);
+    }
+}
--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
@@ -475,6 +475,21 @@
                 .orElse(WaitingRank.NONE);
     }
 
+    /**
+     * Returns the requests of the other hosts by priority.
+     *
+     * @param nowMillis the current time
+     * @return loads of the reachable hosts; without what waited if that is too long ago
+     */
+    public List<HostReport.PriorityLoad> prioritiesElsewhere(long nowMillis) {
+        List<HostReport.PriorityLoad> loads = new ArrayList<>();
+        for (HostReport report : reachableHosts(nowMillis)) {
+            boolean isRecent = nowMillis - members.get(report.host()).reportedAtMillis <= RANK_VALIDITY_MILLIS;
+            report.priorities().forEach(load -> loads.add(isRecent ? load : load.withoutWaiting()));
+        }
+        return loads;
+    }
+
     /**
      * Sums the load of the other hosts on each backend server.
      *
--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
@@ -10,6 +10,8 @@
 import org.guavathread.core.id.WorkspaceId;
 import org.guavathread.core.message.LaterField;
 import org.guavathread.core.publish.StorePosition;
+import org.guavathread.core.routing.Priority;
+import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.sheet.SocketAddressText;
 
 /**
@@ -34,6 +36,7 @@
  * @param crashed evidence of requests that crash backend servers, its own and what it learned from other hosts
  * @param limits limits that backend servers stated in their answers to this host
  * @param isCutOff whether it cannot connect to any backend server
+ * @param priorities its requests by priority, for services whose requests have different ones
  */
 public record HostReport(
         HostId host,
@@ -53,7 +56,8 @@
         List<BackendServerId> unreachable,
         List<CrashEvidence> crashed,
         List<StatedLimit> limits,
-        @LaterField("false") boolean isCutOff) {
+        @LaterField("false") boolean isCutOff,
+        @LaterField List<PriorityLoad> priorities) {
 
     /** Copies the collections. */
     public HostReport {
@@ -62,6 +66,7 @@
         unreachable = List.copyOf(unreachable);
         crashed = List.copyOf(crashed);
         limits = List.copyOf(limits);
+        priorities = List.copyOf(priorities);
     }
 
     /**
@@ -113,6 +118,71 @@
      */
     public record ServerLoad(BackendServerId server, int promptTokens, int heldTokens) {}
 
+    /**
+     * Language requests of one service and priority at one host.
+     *
+     * @param service the service
+     * @param priority the priority
+     * @param running number of those that occupy memory of an engine
+     * @param heldTokens tokens that they occupy
+     * @param largestWaitingTokens tokens that the largest waiting one will occupy
+     * @param onTime number of those that wait, can be on time and belong to workspaces within their fair share
+     * @param aboveShare number of the others that wait and can be on time
+     * @param late number of those that wait and are late
+     */
+    public record PriorityLoad(
+            ServiceName service,
+            Priority priority,
+            int running,
+            int heldTokens,
+            int largestWaitingTokens,
+            int onTime,
+            int aboveShare,
+            int late) {
+
+        /**
+         * Adds the load of another host, of the same service and priority.
+         *
+         * @param other the other load
+         * @return the sum
+         */
+        public PriorityLoad plus(PriorityLoad other) {
+            return new PriorityLoad(
+                    service,
+                    priority,
+                    running + other.running,
+                    heldTokens + other.heldTokens,
+                    Math.max(largestWaitingTokens, other.largestWaitingTokens),
+                    onTime + other.onTime,
+                    aboveShare + other.aboveShare,
+                    late + other.late);
+        }
+
+        /**
+         * Returns the requests that run.
+         *
+         * @return the load without those that wait
+         */
+        public PriorityLoad withoutWaiting() {
+            return new PriorityLoad(service, priority, running, heldTokens, 0, 0, 0, 0);
+        }
+
+        /**
+         * Returns the best rank of the waiting requests.
+         *
+         * @return the rank
+         */
+        public WaitingRank best() {
+            if (onTime > 0) {
+                return WaitingRank.ON_TIME;
+            }
+            if (aboveShare > 0) {
+                return WaitingRank.ON_TIME_ABOVE_PART;
+            }
+            return late > 0 ? WaitingRank.LATE : WaitingRank.NONE;
+        }
+    }
+
     /**
      * Returns a copy of this report with the phase of a later heartbeat.
      *
@@ -138,7 +208,8 @@
                 unreachable,
                 crashed,
                 limits,
-                isCutOff);
+                isCutOff,
+                priorities);
     }
 
     /**
--- a/guavathread-core/src/main/java/org/guavathread/core/routing/RoutingTable.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/routing/RoutingTable.java
@@ -2,10 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * An immutable version of the configuration, indexed for routing.
@@ -24,6 +27,7 @@
     private final Map<ServiceName, ServiceTerms> services = new HashMap<>();
     private final List<WorkspaceTerms> workspaces;
     private final Map<String, WorkspaceTerms> byKey = new HashMap<>();
+    private final Set<ServiceName> prioritised;
     private final CallerBounds bounds;
 
     private RoutingTable(Builder values) {
@@ -35,6 +39,7 @@
                     .put(rule.prefix(), rule);
         }
         values.services.forEach(terms -> services.put(terms.name(), terms));
+        prioritised = prioritisedServices(values.routes);
         workspaces.forEach(terms -> terms.apiKeys().forEach(key -> byKey.put(key, terms)));
     }
 
@@ -103,6 +108,40 @@
         return !workspaces.isEmpty();
     }
 
+    /**
+     * Returns the priority of a request among those of its service.
+     *
+     * @param service the service that serves the request
+     * @param rule the route of the request
+     * @param workspace the workspace of the request; its priority goes before that of the route
+     * @return the priority, or empty if all requests of the service have the same one
+     */
+    public Optional<Priority> priorityOf(ServiceName service, RouteRule rule, Optional<WorkspaceTerms> workspace) {
+        return prioritised.contains(service)
+                ? Optional.of(workspace.flatMap(WorkspaceTerms::priority).orElse(rule.priority()))
+                : Optional.empty();
+    }
+
+    /** Returns the services whose requests have different priorities. */
+    private Set<ServiceName> prioritisedServices(List<RouteRule> routes) {
+        Set<Optional<Priority>> ofWorkspaces =
+                workspaces.stream().map(WorkspaceTerms::priority).collect(Collectors.toSet());
+        Map<ServiceName, Set<Priority>> priorities = new HashMap<>();
+        for (RouteRule rule : routes) {
+            for (RouteRule.Target target : rule.targets()) {
+                Set<Priority> found = priorities.computeIfAbsent(target.service(), each -> new HashSet<>());
+                if (workspaces.isEmpty() || rule.open()) {
+                    found.add(rule.priority());
+                }
+                ofWorkspaces.forEach(priority -> found.add(priority.orElse(rule.priority())));
+            }
+        }
+        return priorities.entrySet().stream()
+                .filter(e -> e.getValue().size() > 1)
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     /**
      * Returns all workspaces.
      *
--- a/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
@@ -39,6 +39,7 @@
         private int syncs;
         private int reportsPerDatagram = 8;
         private WaitingRank best = WaitingRank.NONE;
+        private List<HostReport.PriorityLoad> priorities = List.of();
         private long configuration;
 
         void start(int number, List<SocketAddressText> seeds, long now) {
@@ -105,7 +106,8 @@
                     List.of(),
                     List.of(),
                     List.of(),
-                    false);
+                    false,
+                    priorities);
         }
 
         FleetView view(int number) {
--- a/guavathread-core/src/test/java/org/guavathread/core/publish/StoreFollowerTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/publish/StoreFollowerTest.java
@@ -124,7 +124,8 @@
                 List.of(),
                 List.of(),
                 List.of(),
-                false);
+                false,
+                List.of());
         assertEquals(
                 Optional.empty(),
                 follower.nextPeer(Optional.of(ahead), new StorePosition(1, 8), 100),
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/ContextFactory.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/ContextFactory.java
@@ -8,7 +8,9 @@
 import org.guavathread.core.dispatch.CrashSuspects;
 import org.guavathread.core.dispatch.DrainAdmission;
 import org.guavathread.core.dispatch.EngineDispatch;
+import org.guavathread.core.dispatch.KeptRoom;
 import org.guavathread.core.dispatch.PlainDispatch;
+import org.guavathread.core.dispatch.PriorityDemand;
 import org.guavathread.core.dispatch.ServerHealth;
 import org.guavathread.core.dispatch.ServerLimits;
 import org.guavathread.core.dispatch.ServerLoads;
@@ -73,6 +75,7 @@
         ServerPauses pauses = new ServerPauses();
         GatewayMetrics metrics = new GatewayMetrics();
         BackendProtocol backendProtocol = platform.backendProtocol(isLeaving);
+        PriorityDemand demand = new PriorityDemand();
         return new GatewayContext(
                 loop,
                 state,
@@ -87,6 +90,8 @@
                 new ServerNotices(loop, state, pauses, backendProtocol, log, metrics),
                 new PlainDispatch(settings.dataCentre(), loads, health, random.split()),
                 new EngineDispatch(loads, health, random.split()),
+                demand,
+                new KeptRoom(demand),
                 new AnswerDurationEstimator(),
                 new DrainAdmission(),
                 new CrashSuspects(),
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/AdmittedRequest.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/AdmittedRequest.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.guavathread.core.dispatch.CrashTrait;
+import org.guavathread.core.routing.Priority;
 import org.guavathread.core.routing.RouteRule;
 import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.routing.WorkspaceTerms;
@@ -17,6 +18,7 @@
  * @param request the caller's request
  * @param rule its route
  * @param service the service that serves it
+ * @param priority its priority; empty if all requests of the service have the same one
  * @param workspace the workspace that is charged for the request; empty on open routes
  * @param charge units taken from the workspace's rate limit
  * @param crashTraits features that it shares with other requests that may crash backend servers
@@ -28,6 +30,7 @@
         CallerRequest request,
         RouteRule rule,
         ServiceName service,
+        Optional<Priority> priority,
         Optional<WorkspaceTerms> workspace,
         double charge,
         List<CrashTrait> crashTraits,
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/CapacityQueue.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/CapacityQueue.java
@@ -1,12 +1,20 @@
 package org.guavathread.gateway.call;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Supplier;
 
+import org.guavathread.core.dispatch.CallerCost;
+import org.guavathread.core.dispatch.CostOrder;
 import org.guavathread.core.dispatch.FairAdmissionQueue;
 import org.guavathread.core.dispatch.FairAdmissionQueue.Lane;
 import org.guavathread.core.dispatch.WaitingRank;
-import org.guavathread.core.share.FairShareTracker;
+import org.guavathread.core.gossip.HostReport.PriorityLoad;
+import org.guavathread.core.routing.Priority;
+import org.guavathread.core.routing.ServiceName;
 import org.guavathread.gateway.loop.EventLoop;
 
 /**
@@ -19,9 +27,12 @@
     private static final long RETRY_INTERVAL_MILLIS = 60;
 
     private final EventLoop loop;
+    private final GatewayContext context;
+    private final ServiceName service;
     private final Runnable onChange;
     private final Supplier<WaitingRank> bestElsewhere;
     private final FairAdmissionQueue<StreamCall> queue;
+    private final Map<StreamCall, CostOrder.Standing> running = new HashMap<>();
     private EventLoop.Timer timer;
     private StreamCall retrying;
     private Lane retryingLane;
@@ -30,16 +41,18 @@
     /**
      * Creates a queue.
      *
-     * @param loop the event loop that handles requests
+     * @param context components shared by all requests
+     * @param service the service
      * @param onChange runs when the capacity that requests use or wait for has changed
      * @param bestElsewhere supplies the rank of the highest-ranked request that waits at another host
-     * @param shares compares the workspaces' usage
      */
-    CapacityQueue(EventLoop loop, Runnable onChange, Supplier<WaitingRank> bestElsewhere, FairShareTracker shares) {
-        this.loop = loop;
+    CapacityQueue(GatewayContext context, ServiceName service, Runnable onChange, Supplier<WaitingRank> bestElsewhere) {
+        this.loop = context.loop();
+        this.context = context;
+        this.service = service;
         this.onChange = onChange;
         this.bestElsewhere = bestElsewhere;
-        this.queue = new FairAdmissionQueue<>(shares);
+        this.queue = new FairAdmissionQueue<>(context.shares());
     }
 
     /** Enqueues a request; returns false if it would not get capacity in time. */
@@ -48,6 +61,7 @@
         if (hasRetried) {
             retrying = null;
         }
+        running.remove(call);
         boolean waits = queue.add(call, place, loop.nowMillis());
         if (waits) {
             scheduleRetry();
@@ -56,10 +70,23 @@
         if (hasRetried && retryingLane == Lane.CONTINUATION && !inRound) {
             // Engines that cannot serve the stream may have room for a new request.
             retry(List.of(Lane.NEW));
+        } else if (hasRetried && retryingLane == Lane.NEW) {
+            retryLessUrgentThan(place.standing());
         }
         return waits;
     }
 
+    private void retryLessUrgentThan(CostOrder.Standing failed) {
+        failed.priority()
+                .flatMap(priority -> queue.firstLessUrgentThan(priority, this::bestElsewhere, loop.nowMillis()))
+                .ifPresent(call -> retry(call, Lane.NEW));
+    }
+
+    private WaitingRank bestElsewhere(Optional<Priority> priority) {
+        return priority.map(level -> context.demand().bestElsewhere(service, level))
+                .orElseGet(bestElsewhere);
+    }
+
     /** Returns the rank of the highest-ranked waiting request. */
     WaitingRank bestRank() {
         return queue.bestRank(loop.nowMillis());
@@ -70,6 +97,35 @@
         return queue.mustQueue(place, loop.nowMillis());
     }
 
+    /** Returns the requests that run or wait; none if all requests of the service have the same priority. */
+    List<PriorityLoad> priorityLoads() {
+        Map<Priority, PriorityLoad> loads = new TreeMap<>();
+        running.values()
+                .forEach(standing -> standing.priority()
+                        .ifPresent(priority -> loads.merge(
+                                priority,
+                                new PriorityLoad(service, priority, 1, standing.workTokens(), 0, 0, 0, 0),
+                                PriorityLoad::plus)));
+        queue.costs(loop.nowMillis())
+                .forEach((standing, cost) -> standing.priority()
+                        .ifPresent(priority ->
+                                loads.merge(priority, loadOf(standing, priority, cost), PriorityLoad::plus)));
+        return List.copyOf(loads.values());
+    }
+
+    private PriorityLoad loadOf(CostOrder.Standing standing, Priority priority, CallerCost cost) {
+        boolean isLate = cost.need().rank() == WaitingRank.LATE;
+        return new PriorityLoad(
+                service,
+                priority,
+                0,
+                0,
+                isLate ? 0 : standing.workTokens(),
+                cost.need() == CallerCost.Need.ON_TIME ? 1 : 0,
+                cost.need() == CallerCost.Need.ON_TIME_ABOVE_SHARE ? 1 : 0,
+                isLate ? 1 : 0);
+    }
+
     int size() {
         return queue.size();
     }
@@ -79,14 +135,18 @@
     }
 
     /** Removes a request that got capacity and lets the next one try immediately. */
-    void capacityAcquired(StreamCall call) {
+    void capacityAcquired(StreamCall call, FairAdmissionQueue.Attributes place) {
         queue.admitted(call, loop.nowMillis());
+        if (running.put(call, place.standing()) == null) {
+            queue.countAdmission(place, loop.nowMillis());
+        }
         removed(call);
     }
 
     /** Removes a request that has ended; any capacity it held is free now. */
     void ended(StreamCall call) {
         queue.remove(call);
+        running.remove(call);
         removed(call);
     }
 
@@ -113,6 +173,7 @@
         }
         scheduleRetry();
         queue.expired(loop.nowMillis()).forEach(StreamCall::waitTimedOut);
+        queue.overtaken(loop.nowMillis()).forEach(each -> each.request().overtaken(each.cost(), each.ahead()));
         retry(List.of(Lane.values()));
     }
 
@@ -121,13 +182,15 @@
         inRound = true;
         for (Lane lane : lanes) {
             if (retrying == null) {
-                queue.first(lane, bestElsewhere.get(), loop.nowMillis()).ifPresent(call -> {
-                    retrying = call;
-                    retryingLane = lane;
-                    call.retryPlacement();
-                });
+                queue.first(lane, this::bestElsewhere, loop.nowMillis()).ifPresent(call -> retry(call, lane));
             }
         }
         inRound = false;
     }
+
+    private void retry(StreamCall call, Lane lane) {
+        retrying = call;
+        retryingLane = lane;
+        call.retryPlacement();
+    }
 }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineSelection.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineSelection.java
@@ -6,9 +6,11 @@
 
 import org.guavathread.core.dispatch.EnginePlan;
 import org.guavathread.core.dispatch.EngineWork;
+import org.guavathread.core.dispatch.RoomLimit;
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.registry.SoftwareVersion;
 import org.guavathread.core.registry.Worker;
+import org.guavathread.core.routing.Priority;
 import org.guavathread.core.routing.ServiceTerms.EngineTerms;
 
 /**
@@ -19,13 +21,13 @@
 
     private final GatewayContext context;
     private final EngineTerms engineTerms;
-    private final long targetMillis;
+    private final AdmittedRequest admitted;
     private Optional<SoftwareVersion> version = Optional.empty();
 
-    EngineSelection(GatewayContext context, EngineTerms engineTerms, long targetMillis) {
+    EngineSelection(GatewayContext context, EngineTerms engineTerms, AdmittedRequest admitted) {
         this.context = context;
         this.engineTerms = engineTerms;
-        this.targetMillis = targetMillis;
+        this.admitted = admitted;
     }
 
     /** Restricts the selection to the version that began the stream. */
@@ -57,10 +59,19 @@
                         excluded,
                         work,
                         engineTerms.memoryTokens(),
-                        targetMillis,
+                        admitted.rule().targetMillis(),
+                        admitted.priority()
+                                .map(priority -> limitFor(priority, engines))
+                                .orElse(RoomLimit.NONE_KEPT),
                         context.loop().nowMillis());
     }
 
+    private RoomLimit limitFor(Priority priority, List<Worker> engines) {
+        List<Worker> generating =
+                engines.stream().filter(w -> w.stage().generates()).toList();
+        return context.keptRoom().limitFor(admitted.service(), priority, generating, engineTerms.memoryTokens());
+    }
+
     private static List<Worker> ofVersion(List<Worker> engines, SoftwareVersion version) {
         return engines.stream().filter(w -> w.softwareVersion().equals(version)).toList();
     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/GatewayContext.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/GatewayContext.java
@@ -7,7 +7,9 @@
 import org.guavathread.core.dispatch.CrashSuspects;
 import org.guavathread.core.dispatch.DrainAdmission;
 import org.guavathread.core.dispatch.EngineDispatch;
+import org.guavathread.core.dispatch.KeptRoom;
 import org.guavathread.core.dispatch.PlainDispatch;
+import org.guavathread.core.dispatch.PriorityDemand;
 import org.guavathread.core.dispatch.ServerHealth;
 import org.guavathread.core.dispatch.ServerLimits;
 import org.guavathread.core.dispatch.ServerLoads;
@@ -44,6 +46,8 @@
  * @param notices acts on what backend servers say of themselves in their answers
  * @param plainDispatch selects servers for plain requests
  * @param engineDispatch selects engines for language requests
+ * @param demand requests of all hosts by priority
+ * @param keptRoom room of engines that less urgent requests leave to more urgent ones
  * @param answerPace measured generation time of answers
  * @param drain decides what is still accepted while this host stops
  * @param crashSuspects fingerprints of requests that crashed backend servers
@@ -68,6 +72,8 @@
         ServerNotices notices,
         PlainDispatch plainDispatch,
         EngineDispatch engineDispatch,
+        PriorityDemand demand,
+        KeptRoom keptRoom,
         AnswerDurationEstimator answerPace,
         DrainAdmission drain,
         CrashSuspects crashSuspects,
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
@@ -15,10 +15,12 @@
 import org.guavathread.core.dispatch.EngineWork;
 import org.guavathread.core.dispatch.QueueDelay;
 import org.guavathread.core.dispatch.WaitingRank;
+import org.guavathread.core.gossip.HostReport;
 import org.guavathread.core.id.BackendServerId;
 import org.guavathread.core.registry.SoftwareVersion;
 import org.guavathread.core.request.Refusal;
 import org.guavathread.core.request.RefusalCode;
+import org.guavathread.core.routing.Priority;
 import org.guavathread.core.routing.RouteRule;
 import org.guavathread.core.routing.RoutingTable;
 import org.guavathread.core.routing.ServiceName;
@@ -198,6 +200,17 @@
                 .orElse(WaitingRank.NONE);
     }
 
+    /**
+     * Returns the requests that run or wait, by priority.
+     *
+     * @return the load of the services whose requests have different priorities
+     */
+    public List<HostReport.PriorityLoad> priorityLoads() {
+        return capacityQueues.values().stream()
+                .flatMap(queue -> queue.priorityLoads().stream())
+                .toList();
+    }
+
     /**
      * Hands a request over to the event loop, or refuses it at once if the loop has no room for it. May be called on any
      * thread.
@@ -302,12 +315,22 @@
         workspace.ifPresent(w -> context.shares().recordUsage(w.id(), charge, now));
         context.retries().requestArrived(service, now);
         AdmittedRequest admitted = new AdmittedRequest(
-                exchange, request, rule, service, workspace, charge, crashTraits, isCrashTest, deadlineMillis);
+                exchange,
+                request,
+                rule,
+                service,
+                table.priorityOf(service, rule, workspace),
+                workspace,
+                charge,
+                crashTraits,
+                isCrashTest,
+                deadlineMillis);
         context.log()
                 .entry("admit")
                 .id(request.attemptId())
                 .with("route", rule.id())
                 .with("kind", rule.kind())
+                .with("priority", admitted.priority().map(Priority::toString).orElse("none"))
                 .with("workspace", workspace.map(w -> w.id().value()).orElse("none"))
                 .with("charge", charge)
                 .with("version", table.version())
@@ -388,8 +411,7 @@
     private CapacityQueue capacityQueueOf(AdmittedRequest admitted) {
         return capacityQueues.computeIfAbsent(
                 admitted.service(),
-                service -> new CapacityQueue(
-                        context.loop(), load::loadChanged, load::bestWaitingElsewhere, context.shares()));
+                service -> new CapacityQueue(context, service, load::loadChanged, load::bestWaitingElsewhere));
     }
 
     /** Returns the size of a request; one that states no token counts is assumed as large as its charge. */
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -7,6 +7,8 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
+import org.guavathread.core.dispatch.CallerCost;
+import org.guavathread.core.dispatch.CostOrder;
 import org.guavathread.core.dispatch.EnginePlan;
 import org.guavathread.core.dispatch.EngineWork;
 import org.guavathread.core.dispatch.FairAdmissionQueue;
@@ -15,6 +17,7 @@
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.request.Refusal;
 import org.guavathread.core.request.RefusalCode;
+import org.guavathread.core.routing.Priority;
 import org.guavathread.core.routing.ServiceTerms.EngineTerms;
 import org.guavathread.core.routing.WorkspaceTerms;
 import org.guavathread.core.stream.StreamProgress;
@@ -95,8 +98,7 @@
         this.engineTerms = engineTerms;
         this.work = work;
         this.resources = new EngineResources(context, engineTerms, backendClient);
-        this.selection =
-                new EngineSelection(context, engineTerms, admitted.rule().targetMillis());
+        this.selection = new EngineSelection(context, engineTerms, admitted);
         this.lastEventId = request().lastEventId();
     }
 
@@ -180,6 +182,19 @@
         }
     }
 
+    /** Refuses a waiting request for which no room is left, because more urgent ones go first. */
+    void overtaken(CallerCost cost, Optional<StreamCall> ahead) {
+        if (!isEnded()) {
+            log("overtaken")
+                    .with("priority", cost.priority())
+                    .with("need", cost.need())
+                    .with("ahead", ahead.map(call -> call.request().attemptId()).orElse("none"))
+                    .with("waitedMillis", now() - exchange().arrivedAtMillis())
+                    .write();
+            giveUp(NO_ENGINE_CAPACITY);
+        }
+    }
+
     void place() {
         if (out == null && refusedAsCrashSuspect()) {
             return;
@@ -203,7 +218,7 @@
             reserve(plan.get());
         } else if (untried().isEmpty()) {
             giveUp("No engine of service " + admitted.service() + " is left to try.");
-        } else if (areAllPausedUntil(waitingPlace().expiresAtMillis(), untried())) {
+        } else if (areAllPausedUntil(waitingPlace().standing().expiresAtMillis(), untried())) {
             giveUp("All engines of service " + admitted.service() + " have asked for a pause.");
         } else {
             waitForRoom();
@@ -282,12 +297,14 @@
         long giveUpAtMillis = Math.min(
                 lastReceivedAtMillis + (long) (QUEUE_TIMEOUT_TARGETS * targetMillis),
                 admitted.deadlineMillis() - targetMillis);
+        CostOrder.Standing standing = CostOrder.Standing.arrivedAt(arrivedAtMillis)
+                .priority(admitted.priority())
+                .workspace(admitted.workspace().map(WorkspaceTerms::id))
+                .until(arrivedAtMillis + (long) (ON_TIME_SHARE * targetMillis), giveUpAtMillis)
+                .work(work.occupiedTokens())
+                .build();
         return new FairAdmissionQueue.Attributes(
-                admitted.workspace().map(WorkspaceTerms::id),
-                arrivedAtMillis,
-                arrivedAtMillis + (long) (ON_TIME_SHARE * targetMillis),
-                giveUpAtMillis,
-                isContinuation() ? FairAdmissionQueue.Lane.CONTINUATION : FairAdmissionQueue.Lane.NEW);
+                standing, isContinuation() ? FairAdmissionQueue.Lane.CONTINUATION : FairAdmissionQueue.Lane.NEW);
     }
 
     /** Returns whether the caller has received the first events, in this answer or in an earlier one. */
@@ -301,7 +318,8 @@
         log("wait")
                 .with("outcome", queued ? "waits" : "refused")
                 .with("full", fullEngines.size())
-                .with("untilMillis", place.expiresAtMillis() - now())
+                .with("priority", admitted.priority().map(Priority::toString).orElse("none"))
+                .with("untilMillis", place.standing().expiresAtMillis() - now())
                 .with("best", capacityQueue.bestRank())
                 .with("lineMillis", capacityQueue.drainMillis())
                 .write();
@@ -384,7 +402,7 @@
     }
 
     private void onReserved(EnginePlan plan, boolean separatePrefill) {
-        capacityQueue.capacityAcquired(this);
+        capacityQueue.capacityAcquired(this, waitingPlace());
         boolean prefillLeft = separatePrefill && !isUsable(plan.prefill().get());
         if (prefillLeft || !isUsable(plan.decode())) {
             placeAgain(prefillLeft ? plan.prefill().get() : plan.decode());
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
@@ -238,6 +238,7 @@
         summedAtMillis = nowMillis;
         context.loads().replaceRemoteLoads(fleet.loadOfOthers(nowMillis));
         context.health().replaceUnreachableForOthers(fleet.unreachableForOthers(nowMillis), nowMillis);
+        context.demand().update(router.priorityLoads(), fleet.prioritiesElsewhere(nowMillis), nowMillis);
     }
 
     private void send() {
@@ -373,6 +374,7 @@
                         .serversNotConnected(context.state().registry().ids().size(), nowMillis),
                 context.crashSuspects().report(nowMillis),
                 context.serverLimits().report(nowMillis),
-                cutOff);
+                cutOff,
+                router.priorityLoads());
     }
 }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/SendOptions.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/SendOptions.java
@@ -4,12 +4,14 @@
 
 import org.guavathread.core.id.WorkspaceId;
 import org.guavathread.core.registry.Worker;
+import org.guavathread.core.routing.Priority;
 
 /**
  * Parameters of one send of a request to a backend server.
  *
  * @param server the backend server; another one at its address must not run the request
  * @param workspace the workspace that the caller's API key belongs to; empty on open routes
+ * @param priority priority of the request; empty if all requests of its service have the same one
  * @param remainingMillis time budget of the server, in milliseconds
  * @param deadlineMillis when the gateway cancels the exchange
  * @param prefillResult the KV cache to fetch, if a prefill engine has processed the prompt
@@ -19,6 +21,7 @@
 public record SendOptions(
         Worker server,
         Optional<WorkspaceId> workspace,
+        Optional<Priority> priority,
         long remainingMillis,
         long deadlineMillis,
         Optional<PrefillResult> prefillResult,
--- a/guavathread-gateway/src/test/java/org/guavathread/gateway/fleet/MessageFormatTest.java
+++ b/guavathread-gateway/src/test/java/org/guavathread/gateway/fleet/MessageFormatTest.java
@@ -20,6 +20,8 @@
 import org.guavathread.core.registry.DepartedServers;
 import org.guavathread.core.registry.DepartureNotice;
 import org.guavathread.core.registry.SoftwareVersion;
+import org.guavathread.core.routing.Priority;
+import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.core.stream.StreamOriginNotice;
 import org.guavathread.core.stream.StreamOrigins;
@@ -31,6 +33,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against a change of the messages that hosts of the builds since 96b7d09 send and read. */
 class MessageFormatTest {
@@ -61,7 +64,9 @@
             List.of(new HostReport.CrashEvidence(
                     new CrashTrait(-5, 1_000), List.of(new HostReport.CrashSighting(-70_000, 4_000, true)))),
             List.of(new HostReport.StatedLimit(SERVER, 1.1, 250)),
-            true);
+            true,
+            List.of(new HostReport.PriorityLoad(
+                    new ServiceName("sums"), new Priority(0), 2, 6_400, 16_000, 3, 1, 70_000)));
 
     private static final HostReport IDLE = new HostReport(
             new HostId("edge-2"),
@@ -81,12 +86,22 @@
             List.of(),
             List.of(),
             List.of(),
-            false);
+            false,
+            List.of());
 
     private static final GossipPacket PACKET =
             new GossipPacket(BUSY, List.of(IDLE), List.of(new HostHeartbeat(-1, 70_000, HostPhase.LEAVING)));
 
     private static final String PACKET_HEX =
+            "940100c293dc0013a6656467652d31cf0000018bcfe56800cd012ca663757269636f92a931302e312e302e3336cd20a8"
+                    + "92a931302e312e302e3336cd1e3ca552454144599202ce00011170079192a46b616375cb3ff80000000000005f03a44c"
+                    + "4154459193a3692d31cd7530cd9bac91a3692d32919292fbcd03e89193d2fffeee90cd0fa0c39193a3692d31cb3ff199"
+                    + "999999999accfac39198a473756d730002cd1900cd3e800301ce0001117091dc0013a6656467652d32cf0000018bcfe5"
+                    + "69f401a574616c636192a931302e312e302e3337cd20a892a931302e312e302e3337cd1e3ca85354415254494e479200"
+                    + "0000900100a44e4f4e4590909090c2909193ffce00011170a74c454156494e47";
+
+    /** The same packet as builds from 96b7d09 on send it, whose reports have 18 components. */
+    private static final String PACKET_OF_18_FIELDS_HEX =
             "940100c293dc0012a6656467652d31cf0000018bcfe56800cd012ca663757269636f92a931302e312e302e3336cd20a8"
                     + "92a931302e312e302e3336cd1e3ca552454144599202ce00011170079192a46b616375cb3ff80000000000005f03a44c"
                     + "4154459193a3692d31cd7530cd9bac91a3692d32919292fbcd03e89193d2fffeee90cd0fa0c39193a3692d31cb3ff199"
@@ -114,15 +129,15 @@
     @Test
     void gossipPacketOfALaterBuild() {
         String longer = PACKET_HEX
-                .replace("dc0012a6656467652d31", "dc0013a6656467652d31")
-                .replace("accfac391dc", "accfac3" + "920193c0c2a161" + "91dc");
+                .replace("dc0013a6656467652d31", "dc0014a6656467652d31")
+                .replace("ce0001117091dc", "ce00011170" + "920193c0c2a161" + "91dc");
         assertEquals(PACKET, socket.decode(HexFormat.of().parseHex(longer)));
     }
 
     /** Hosts of builds before 96b7d09 refuse reports with the last component. */
     @Test
     void gossipPacketOfAnEarlierBuild() {
-        String earlier = PACKET_HEX
+        String earlier = PACKET_OF_18_FIELDS_HEX
                 .replace("dc0012", "dc0011")
                 .replace("accfac391dc", "accfa91dc")
                 .replace("a44e4f4e4590909090c2", "a44e4f4e4590909090");
@@ -133,19 +148,30 @@
         assertFormat(announced(earlier), socket.encode(PACKET, 17));
     }
 
+    /** Hosts of builds from 96b7d09 on report no priorities. */
+    @Test
+    void gossipPacketWithoutPriorities() {
+        GossipPacket read = (GossipPacket) socket.decode(HexFormat.of().parseHex(PACKET_OF_18_FIELDS_HEX));
+        assertEquals(IDLE, read.others().get(0));
+        assertEquals(List.of(), read.own().priorities());
+        assertTrue(read.own().isCutOff());
+        assertEquals(List.of(18), socket.fieldsFor(ADDRESS));
+        assertFormat(announced(PACKET_OF_18_FIELDS_HEX), socket.encode(PACKET, 18));
+    }
+
     /** The correlation, which hosts of all builds ignore, is the number of components that the sender reads. */
     private static String announced(String hex) {
-        return hex.replaceFirst("^940100", "940112");
+        return hex.replaceFirst("^940100", "940113");
     }
 
     @Test
     void formatOfAHostIsLearnedFromItsLastPacket() {
         assertEquals(List.of(18, 17), socket.fieldsFor(ADDRESS));
         socket.decode(HexFormat.of().parseHex(PACKET_HEX));
-        assertEquals(List.of(18), socket.fieldsFor(ADDRESS));
+        assertEquals(List.of(19), socket.fieldsFor(ADDRESS));
         socket.decode(socket.encode(PACKET, 17));
-        assertEquals(List.of(18), socket.fieldsFor(ADDRESS));
-        assertFormat(announced(PACKET_HEX), socket.encode(PACKET, 18));
+        assertEquals(List.of(19), socket.fieldsFor(ADDRESS));
+        assertFormat(announced(PACKET_HEX), socket.encode(PACKET, 19));
         assertThrows(CodecException.class, () -> socket.encode(PACKET, 16));
     }
 
