--- a/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/publish/PublishedState.java
@@ -103,7 +103,8 @@
 
     private void evacuationLost(DataCentreId dataCentre, StorePosition at, long nowMillis, List<StateChange> changes) {
         registry.evacuated().lost(dataCentre, nowMillis);
-        changes.add(new StateChange(StateChange.EVACUATION, dataCentre.value(), "lost by the store, held", at.revision()));
+        changes.add(
+                new StateChange(StateChange.EVACUATION, dataCentre.value(), "lost by the store, held", at.revision()));
     }
 
     private void beginEpoch(long nowMillis) {
@@ -222,8 +223,8 @@
         List<StateChange> changes = new ArrayList<>();
         registry.evacuated()
                 .expire(nowMillis)
-                .forEach(e -> changes.add(
-                        new StateChange(StateChange.EVACUATION, e.dataCentre().value(), "over, not written again", e.revision())));
+                .forEach(e -> changes.add(new StateChange(
+                        StateChange.EVACUATION, e.dataCentre().value(), "over, not written again", e.revision())));
         if (nowMillis >= outdatedUntilMillis) {
             Map<BackendServerId, StoreItem> released = Map.copyOf(withheld);
             withheld.clear();
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/ColdServersLoadTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/ColdServersLoadTest.java
@@ -253,12 +253,14 @@
         EngineWork work = new EngineWork(3_000, 70, 50, 0, false);
         List<Worker> warm = cold.notCold(pool, BACK_MILLIS);
         for (int i = 0; i < 50; i++) {
-            EnginePlan plan = dispatch.chooseWarmFirst(pool, warm, Set.of(), work, 40_000, 900, BACK_MILLIS)
+            EnginePlan plan = dispatch.chooseWarmFirst(
+                            pool, warm, Set.of(), work, 40_000, 900, RoomLimit.NONE_KEPT, BACK_MILLIS)
                     .orElseThrow();
             assertTrue(warm.contains(plan.decode()), plan.toString());
         }
         warm.forEach(w -> loads.open(w.id(), 0, 28_000));
-        EnginePlan full = dispatch.chooseWarmFirst(pool, warm, Set.of(), work, 40_000, 900, BACK_MILLIS)
+        EnginePlan full = dispatch.chooseWarmFirst(
+                        pool, warm, Set.of(), work, 40_000, 900, RoomLimit.NONE_KEPT, BACK_MILLIS)
                 .orElseThrow();
         assertTrue(cold.isCold(full.decode(), BACK_MILLIS), "the warm engines are full");
         List<Worker> later = cold.notCold(pool, BACK_MILLIS + COLD_MILLIS);
--- a/guavathread-core/src/test/java/org/guavathread/core/publish/PublishedEvacuationTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/publish/PublishedEvacuationTest.java
@@ -54,7 +54,7 @@
         }
 
         @Override
-        public Worker server(BackendServerId id, byte[] value) {
+        public Worker server(BackendServerId id, byte[] value, long nowMillis) {
             return new Worker(
                     id,
                     SERVICE,
--- a/guavathread-core/src/test/java/org/guavathread/core/publish/StoreFollowerTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/publish/StoreFollowerTest.java
@@ -125,7 +125,8 @@
                 List.of(),
                 List.of(),
                 false,
-                250);
+                250,
+                List.of());
         assertEquals(
                 Optional.empty(),
                 follower.nextPeer(Optional.of(ahead), new StorePosition(1, 8), 100),
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
@@ -238,6 +238,7 @@
         summedAtMillis = nowMillis;
         context.loads().replaceRemoteLoads(fleet.loadOfOthers(nowMillis));
         context.health().replaceUnreachableForOthers(fleet.unreachableForOthers(nowMillis), nowMillis);
+        context.demand().update(router.priorityLoads(), fleet.prioritiesElsewhere(nowMillis), nowMillis);
     }
 
     private void send() {
@@ -374,6 +375,7 @@
                 context.crashSuspects().report(nowMillis),
                 context.serverLimits().report(nowMillis),
                 cutOff,
-                identity.capacity());
+                identity.capacity(),
+                router.priorityLoads());
     }
 }
