Rank requests by their workspace's priority and then by their route's

Change: a service's published pairs of workspace and route priority are ranked; the rank is the priority that queues, reports and engines get. An empty engine takes a request of up to its whole memory, and one that fits into no engine is refused at once. While a standing queue lasts, a language request that can no longer be on time makes way for newcomers (services with different priorities only).

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/EngineDispatch.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/EngineDispatch.java
@@ -123,8 +123,7 @@
                 .filter(w -> w.stage().generates() && !tried.contains(w.id()))
                 .toList();
         List<Worker> candidates = health.preferred(decodeEngines, nowMillis).stream()
-                .filter(w -> !health.isFull(w.id(), nowMillis)
-                        && utilisationWith(w, work, memoryTokens) <= limit.maxUtilisation(w.id()))
+                .filter(w -> !health.isFull(w.id(), nowMillis) && hasRoom(w, work, memoryTokens, limit))
                 .toList();
         if (candidates.isEmpty()) {
             return Optional.empty();
@@ -200,6 +199,13 @@
                 + decodePenaltyMillis(worker, work, memoryTokens);
     }
 
+    /** An empty engine takes any request that fits: its answer has no others to preempt. */
+    private boolean hasRoom(Worker worker, EngineWork work, int memoryTokens, RoomLimit limit) {
+        double maxUtilisation = limit.maxUtilisation(worker.id());
+        return utilisationWith(worker, work, memoryTokens) <= maxUtilisation
+                || maxUtilisation > 0 && loads.heldTokens(worker.id()) == 0 && work.fitsInto(memoryTokens);
+    }
+
     private double utilisationWith(Worker worker, EngineWork work, int memoryTokens) {
         return (loads.heldTokens(worker.id()) + work.occupiedTokens()) / (double) memoryTokens;
     }
--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/EngineWork.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/EngineWork.java
@@ -37,6 +37,16 @@
         return promptTokens + (int) (RESERVED_ANSWER_FRACTION * Math.min(expectedOutputTokens, maxOutputTokens));
     }
 
+    /**
+     * Tells whether an engine that runs nothing else has the memory for the request.
+     *
+     * @param memoryTokens tokens that the memory of one engine holds
+     * @return false if the request can run on no engine
+     */
+    public boolean fitsInto(int memoryTokens) {
+        return heldTokens() <= memoryTokens;
+    }
+
     /**
      * Returns the capacity of an engine that the request occupies, in tokens of memory. An engine is full when either
      * its memory or its batch is, so a small request counts as at least one batch slot.
--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/QueueDelay.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/QueueDelay.java
@@ -34,6 +34,20 @@
      * @return false if the request is to be refused as not run
      */
     public boolean accepts(long arrivedAtMillis, long deadlineMillis, long nowMillis) {
+        return accepts(arrivedAtMillis, Long.MAX_VALUE, deadlineMillis, nowMillis);
+    }
+
+    /**
+     * Records how long a request waited and decides on it. After a loss of hosts, the others come back to the backlog of all:
+     * then a request that can no longer be on time makes way for newcomers that can.
+     *
+     * @param arrivedAtMillis when the request arrived, in milliseconds since the epoch
+     * @param onTimeUntilMillis until when it has to be looked at to be answered on time
+     * @param deadlineMillis when its caller stops waiting
+     * @param nowMillis the current time
+     * @return false if the request is to be refused as not run
+     */
+    public boolean accepts(long arrivedAtMillis, long onTimeUntilMillis, long deadlineMillis, long nowMillis) {
         long waitedMillis = nowMillis - arrivedAtMillis;
         boolean isFirst = standingSinceMillis == Long.MAX_VALUE || nowMillis - lastDecisionMillis > STANDING_MILLIS;
         if (waitedMillis < SHORT_WAIT_MILLIS) {
@@ -44,6 +58,6 @@
         lastDecisionMillis = nowMillis;
         boolean isStanding = nowMillis - STANDING_MILLIS > standingSinceMillis;
         double allowedMillis = (deadlineMillis - arrivedAtMillis) * (isStanding ? MAX_WAIT_SHARE : 1);
-        return waitedMillis < allowedMillis;
+        return waitedMillis < allowedMillis && !(isStanding && nowMillis > onTimeUntilMillis);
     }
 }
--- a/guavathread-core/src/main/java/org/guavathread/core/routing/RoutingTable.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/routing/RoutingTable.java
@@ -2,12 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeSet;
 import java.util.stream.Collectors;
 
 /**
@@ -22,12 +23,31 @@
     /** Limits until others are published: 16 KiB of head within 10 s, 4 MiB of body, 60 s of idle time. */
     public static final CallerBounds DEFAULT_BOUNDS = new CallerBounds(16 * 1024, 4 * 1024 * 1024, 10_000, 60_000);
 
+    /**
+     * Priority of requests as it is published.
+     *
+     * @param first priority of the workspace if it has one, otherwise that of the route
+     * @param ofRoute priority of the route
+     */
+    private record PublishedPriority(Priority first, Priority ofRoute) implements Comparable<PublishedPriority> {
+
+        private static PublishedPriority of(RouteRule rule, Optional<Priority> ofWorkspace) {
+            return new PublishedPriority(ofWorkspace.orElse(rule.priority()), rule.priority());
+        }
+
+        @Override
+        public int compareTo(PublishedPriority other) {
+            int byFirst = first.compareTo(other.first);
+            return byFirst != 0 ? byFirst : ofRoute.compareTo(other.ofRoute);
+        }
+    }
+
     private final long version;
     private final Map<String, Map<String, RouteRule>> byHost = new HashMap<>();
     private final Map<ServiceName, ServiceTerms> services = new HashMap<>();
     private final List<WorkspaceTerms> workspaces;
     private final Map<String, WorkspaceTerms> byKey = new HashMap<>();
-    private final Set<ServiceName> prioritised;
+    private final Map<ServiceName, List<PublishedPriority>> ranks;
     private final CallerBounds bounds;
 
     private RoutingTable(Builder values) {
@@ -39,7 +59,7 @@
                     .put(rule.prefix(), rule);
         }
         values.services.forEach(terms -> services.put(terms.name(), terms));
-        prioritised = prioritisedServices(values.routes);
+        ranks = ranks(values.routes);
         workspaces.forEach(terms -> terms.apiKeys().forEach(key -> byKey.put(key, terms)));
     }
 
@@ -109,37 +129,37 @@
     }
 
     /**
-     * Returns the priority of a request among those of its service.
+     * Ranks a request among those of its service: by the priority of its workspace, which goes before that of its route, and
+     * between requests of equal priority by that of the route.
      *
      * @param service the service that serves the request
      * @param rule the route of the request
-     * @param workspace the workspace of the request; its priority goes before that of the route
-     * @return the priority, or empty if all requests of the service have the same one
+     * @param workspace the workspace of the request
+     * @return the rank, 0 for the most urgent requests; empty if all requests of the service have the same one
      */
     public Optional<Priority> priorityOf(ServiceName service, RouteRule rule, Optional<WorkspaceTerms> workspace) {
-        return prioritised.contains(service)
-                ? Optional.of(workspace.flatMap(WorkspaceTerms::priority).orElse(rule.priority()))
-                : Optional.empty();
+        int rank = ranks.getOrDefault(service, List.of())
+                .indexOf(PublishedPriority.of(rule, workspace.flatMap(WorkspaceTerms::priority)));
+        return rank < 0 ? Optional.empty() : Optional.of(new Priority(rank));
     }
 
-    /** Returns the services whose requests have different priorities. */
-    private Set<ServiceName> prioritisedServices(List<RouteRule> routes) {
+    /** Returns the priorities of each service whose requests have different ones, the most urgent first. */
+    private Map<ServiceName, List<PublishedPriority>> ranks(List<RouteRule> routes) {
         Set<Optional<Priority>> ofWorkspaces =
                 workspaces.stream().map(WorkspaceTerms::priority).collect(Collectors.toSet());
-        Map<ServiceName, Set<Priority>> priorities = new HashMap<>();
+        Map<ServiceName, SortedSet<PublishedPriority>> priorities = new HashMap<>();
         for (RouteRule rule : routes) {
             for (RouteRule.Target target : rule.targets()) {
-                Set<Priority> found = priorities.computeIfAbsent(target.service(), each -> new HashSet<>());
+                Set<PublishedPriority> found = priorities.computeIfAbsent(target.service(), each -> new TreeSet<>());
                 if (workspaces.isEmpty() || rule.open()) {
-                    found.add(rule.priority());
+                    found.add(PublishedPriority.of(rule, Optional.empty()));
                 }
-                ofWorkspaces.forEach(priority -> found.add(priority.orElse(rule.priority())));
+                ofWorkspaces.forEach(priority -> found.add(PublishedPriority.of(rule, priority)));
             }
         }
         return priorities.entrySet().stream()
                 .filter(e -> e.getValue().size() > 1)
-                .map(Map.Entry::getKey)
-                .collect(Collectors.toUnmodifiableSet());
+                .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, e -> List.copyOf(e.getValue())));
     }
 
     /**
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/QueueDelayTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/QueueDelayTest.java
@@ -80,4 +80,36 @@
         }
         assertEquals(0.5, (double) served / arrivals, 0.06);
     }
+
+    /**
+     * All hosts came back to 6 s of backlog, and what arrives takes nine tenths of the host's time: the backlog is refused
+     * instead of being answered late one after the other, so that newcomers are on time.
+     */
+    @Test
+    void afterALossOfHostsNewcomersAreOnTime() {
+        long workMillis = 18;
+        long refusalMillis = 1;
+        long targetMillis = 800;
+        long timeLimitMillis = 14_000;
+        Deque<Long> queue = new ArrayDeque<>();
+        for (long arrived = -6_000; arrived < 0; arrived += 20) {
+            queue.add(arrived);
+        }
+        int onTime = 0;
+        int arrivals = 0;
+        long busyUntil = 0;
+        for (long now = 0; now < 12_000; now++) {
+            if (now % 20 == 0) {
+                queue.add(now);
+                arrivals++;
+            }
+            while (busyUntil <= now && !queue.isEmpty()) {
+                long arrived = queue.remove();
+                boolean accepted = delay.accepts(arrived, arrived + targetMillis, arrived + timeLimitMillis, now);
+                busyUntil = now + (accepted ? workMillis : refusalMillis);
+                onTime += accepted && arrived >= 0 && busyUntil <= arrived + targetMillis ? 1 : 0;
+            }
+        }
+        assertTrue(onTime >= 0.8 * arrivals, onTime + " of " + arrivals + " newcomers were on time");
+    }
 }
--- a/guavathread-core/src/test/java/org/guavathread/core/routing/RoutingTableTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/routing/RoutingTableTest.java
@@ -1,6 +1,7 @@
 package org.guavathread.core.routing;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 import org.guavathread.core.id.RouteId;
@@ -51,6 +52,63 @@
         assertEquals("none", routeOf("shop.example", "/"));
     }
 
+    private static RouteRule withPriority(String name, int level) {
+        return RouteRule.builder(new RouteId(name), CallKind.STREAM)
+                .matches("shop.example", "/" + name + "/")
+                .targets(List.of(new RouteRule.Target(new ServiceName("s"), 1)))
+                .priority(new Priority(level))
+                .build();
+    }
+
+    private static WorkspaceTerms workspace(String name, Optional<Priority> priority) {
+        return WorkspaceTerms.builder(new WorkspaceId(name)).priority(priority).build();
+    }
+
+    private static Optional<Priority> priorityOf(RouteRule rule, WorkspaceTerms workspace, List<Object> published) {
+        RoutingTable.Builder builder = RoutingTable.builder(1);
+        for (Object each : published) {
+            if (each instanceof RouteRule route) {
+                builder.route(route);
+            } else {
+                builder.workspace((WorkspaceTerms) each);
+            }
+        }
+        return builder.build().priorityOf(new ServiceName("s"), rule, Optional.of(workspace));
+    }
+
+    @Test
+    void priorityOfTheWorkspaceGoesBeforeThatOfTheRoute() {
+        RouteRule urgent = withPriority("urgent", 0);
+        RouteRule calm = withPriority("calm", 2);
+        WorkspaceTerms first = workspace("first", Optional.of(new Priority(1)));
+        WorkspaceTerms second = workspace("second", Optional.of(new Priority(3)));
+        List<Object> published = List.of(urgent, calm, first, second);
+        assertEquals(Optional.of(new Priority(0)), priorityOf(urgent, first, published));
+        assertEquals(Optional.of(new Priority(1)), priorityOf(calm, first, published));
+        assertEquals(Optional.of(new Priority(2)), priorityOf(urgent, second, published));
+        assertEquals(Optional.of(new Priority(3)), priorityOf(calm, second, published));
+    }
+
+    @Test
+    void routesDecideBetweenWorkspacesOfEqualPriority() {
+        RouteRule urgent = withPriority("urgent", 0);
+        RouteRule calm = withPriority("calm", 2);
+        WorkspaceTerms first = workspace("first", Optional.of(new Priority(1)));
+        assertEquals(Optional.of(new Priority(0)), priorityOf(urgent, first, List.of(urgent, calm, first)));
+        assertEquals(Optional.of(new Priority(1)), priorityOf(calm, first, List.of(urgent, calm, first)));
+        WorkspaceTerms without = workspace("without", Optional.empty());
+        assertEquals(Optional.of(new Priority(1)), priorityOf(calm, without, List.of(urgent, calm, without)));
+    }
+
+    @Test
+    void equalPrioritiesAreNone() {
+        RouteRule one = withPriority("one", 1);
+        RouteRule other = withPriority("other", 1);
+        WorkspaceTerms first = workspace("first", Optional.of(new Priority(3)));
+        WorkspaceTerms second = workspace("second", Optional.of(new Priority(3)));
+        assertEquals(Optional.empty(), priorityOf(one, first, List.of(one, other, first, second)));
+    }
+
     @Test
     void keysBelongToTheirWorkspaceOnly() {
         assertEquals("w", table.workspaceOf("key").orElseThrow().id().value());
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
@@ -172,7 +172,7 @@
         return new SendOptions(
                 worker,
                 admitted.workspace().map(w -> w.id()),
-                admitted.priority(),
+                request().work().flatMap(work -> admitted.priority()),
                 Math.max(1, untilMillis - now()),
                 untilMillis,
                 prefillResult,
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
@@ -278,11 +278,18 @@
             RoutingTable table) {
         long now = context.loop().nowMillis();
         long callerDeadlineMillis = AdmittedRequest.callerDeadlineMillis(exchange, request, rule);
-        if (!queueDelay.accepts(exchange.arrivedAtMillis(), callerDeadlineMillis, now)) {
-            refuse(exchange, request.attemptId(), queueRefusal(exchange.arrivedAtMillis(), now));
+        ServiceName service = rule.pick(context.random().nextDouble());
+        Optional<Priority> priority = table.priorityOf(service, rule, workspace);
+        long arrivedAtMillis = exchange.arrivedAtMillis();
+        // Callers of a stream that goes on have received a part of it.
+        boolean makesWay = priority.isPresent()
+                && request.work().isPresent()
+                && request.lastEventId().isEmpty();
+        long onTimeUntilMillis = makesWay ? arrivedAtMillis + rule.targetMillis() : Long.MAX_VALUE;
+        if (!queueDelay.accepts(arrivedAtMillis, onTimeUntilMillis, callerDeadlineMillis, now)) {
+            refuse(exchange, request.attemptId(), queueRefusal(arrivedAtMillis, now));
             return;
         }
-        ServiceName service = rule.pick(context.random().nextDouble());
         List<CrashTrait> crashTraits = crashTraits(request, workspace);
         Optional<CrashTrait> blamed = context.crashSuspects().blamedOf(crashTraits);
         boolean isCrashTest = blamed.isPresent()
@@ -319,7 +326,7 @@
                 request,
                 rule,
                 service,
-                table.priorityOf(service, rule, workspace),
+                priority,
                 workspace,
                 charge,
                 crashTraits,
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -8,7 +8,6 @@
 import java.util.function.Supplier;
 
 import org.guavathread.core.dispatch.CallerCost;
-import org.guavathread.core.dispatch.CostOrder;
 import org.guavathread.core.dispatch.EnginePlan;
 import org.guavathread.core.dispatch.EngineWork;
 import org.guavathread.core.dispatch.FairAdmissionQueue;
@@ -19,7 +18,6 @@
 import org.guavathread.core.request.RefusalCode;
 import org.guavathread.core.routing.Priority;
 import org.guavathread.core.routing.ServiceTerms.EngineTerms;
-import org.guavathread.core.routing.WorkspaceTerms;
 import org.guavathread.core.stream.StreamProgress;
 import org.guavathread.gateway.protocol.EngineReservation;
 import org.guavathread.gateway.protocol.PrefillResult;
@@ -36,12 +34,6 @@
     /** Timeout of a reservation call. The call is small, so an engine that takes longer is considered unhealthy. */
     private static final long RESERVE_TIMEOUT_MILLIS = 400;
 
-    /** Queue timeout as a multiple of the route's target latency; callers leave after four targets without an event. */
-    private static final double QUEUE_TIMEOUT_TARGETS = 3;
-
-    /** Share of the target within which a request must get capacity to be on time; the prefill takes the rest. */
-    private static final double ON_TIME_SHARE = 0.5;
-
     /** Under the callers' protocol, callers wait at most the remaining time divided by this before they retry. */
     private static final int RETRY_DELAY_DIVISOR = 3;
 
@@ -104,6 +96,11 @@
 
     @Override
     void begin() {
+        if (!work.fitsInto(engineTerms.memoryTokens())) {
+            giveUp("The request needs " + work.heldTokens() + " tokens of memory; an engine has "
+                    + engineTerms.memoryTokens() + ".");
+            return;
+        }
         if (lastEventId.isEmpty()) {
             queueOrPlace();
             return;
@@ -290,21 +287,9 @@
     }
 
     private FairAdmissionQueue.Attributes waitingPlace() {
-        long arrivedAtMillis = exchange().arrivedAtMillis();
-        long targetMillis = admitted.rule().targetMillis();
         // A caller that has received events measures its timeout from the last event, not from its request.
-        long lastReceivedAtMillis = out == null ? arrivedAtMillis : lastEventAtMillis;
-        long giveUpAtMillis = Math.min(
-                lastReceivedAtMillis + (long) (QUEUE_TIMEOUT_TARGETS * targetMillis),
-                admitted.deadlineMillis() - targetMillis);
-        CostOrder.Standing standing = CostOrder.Standing.arrivedAt(arrivedAtMillis)
-                .priority(admitted.priority())
-                .workspace(admitted.workspace().map(WorkspaceTerms::id))
-                .until(arrivedAtMillis + (long) (ON_TIME_SHARE * targetMillis), giveUpAtMillis)
-                .work(work.occupiedTokens())
-                .build();
-        return new FairAdmissionQueue.Attributes(
-                standing, isContinuation() ? FairAdmissionQueue.Lane.CONTINUATION : FairAdmissionQueue.Lane.NEW);
+        long lastReceivedAtMillis = out == null ? exchange().arrivedAtMillis() : lastEventAtMillis;
+        return WaitingPlace.of(admitted, work, isContinuation(), lastReceivedAtMillis);
     }
 
     /** Returns whether the caller has received the first events, in this answer or in an earlier one. */
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/SendOptions.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/protocol/SendOptions.java
@@ -11,7 +11,7 @@
  *
  * @param server the backend server; another one at its address must not run the request
  * @param workspace the workspace that the caller's API key belongs to; empty on open routes
- * @param priority priority of the request; empty if all requests of its service have the same one
+ * @param priority priority of a language request; empty if all requests of its service have the same one
  * @param remainingMillis time budget of the server, in milliseconds
  * @param deadlineMillis when the gateway cancels the exchange
  * @param prefillResult the KV cache to fetch, if a prefill engine has processed the prompt
