--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/KeptRoom.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/KeptRoom.java
@@ -56,6 +56,7 @@
         int wanted = (int) Math.ceil(MARGIN * urgent.requests() / requestsOfAnEngine);
         int count = Math.min((int) (MAX_KEPT_SHARE * engines.size()), wanted);
         if (count == 0) {
+            latest.remove(service);
             return RoomLimit.NONE_KEPT;
         }
         Set<BackendServerId> kept =
@@ -63,6 +64,17 @@
         return engine -> kept.contains(engine) ? 0 : RoomLimit.MAX_UTILISATION;
     }
 
+    /**
+     * Returns how many engines were kept when the latest less urgent request was placed.
+     *
+     * @param service the service
+     * @return number of engines
+     */
+    public int keptEngines(ServiceName service) {
+        KeptEngines known = latest.get(service);
+        return known == null ? 0 : known.count();
+    }
+
     private Set<BackendServerId> kept(ServiceName service, List<BackendServerId> engines, int count) {
         KeptEngines known = latest.get(service);
         if (known == null || known.count() != count || !known.engines().equals(engines)) {
--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/PriorityDemand.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/PriorityDemand.java
@@ -1,6 +1,5 @@
 package org.guavathread.core.dispatch;
 
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -102,16 +101,4 @@
         PriorityLoad load = elsewhere.get(new Level(service, priority));
         return load == null ? WaitingRank.NONE : load.best();
     }
-
-    /**
-     * Returns the largest demand of the most urgent requests, for metrics.
-     *
-     * @return number of requests
-     */
-    public double mostUrgentRequests() {
-        return peaks.entrySet().stream()
-                .min(Comparator.comparing(e -> e.getKey().priority()))
-                .map(e -> e.getValue().requests())
-                .orElse(0.0);
-    }
 }
--- a/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
@@ -10,6 +10,8 @@
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.publish.StorePosition;
+import org.guavathread.core.routing.Priority;
+import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.junit.jupiter.api.Test;
 
@@ -298,6 +300,20 @@
         assertEquals(WaitingRank.NONE, view.bestWaitingElsewhere(300));
     }
 
+    @Test
+    void reportedWaitingRequestsExpireBeforeThoseThatRun() {
+        FleetView view = new FleetView(new HostId("h1"), 0, List.of(), new SplittableRandom(1));
+        Fleet fleet = new Fleet();
+        fleet.start(2, List.of(), 0);
+        HostReport.PriorityLoad load =
+                new HostReport.PriorityLoad(new ServiceName("s"), new Priority(0), 2, 6_400, 16_000, 1, 0, 0);
+        fleet.priorities = List.of(load);
+        view.apply(fleet.report(address(2), 100), 100);
+        assertEquals(List.of(load), view.prioritiesElsewhere(500));
+        assertEquals(List.of(load.withoutWaiting()), view.prioritiesElsewhere(501));
+        assertEquals(List.of(), view.prioritiesElsewhere(100 + FleetView.REACH_TIMEOUT_MILLIS + 1));
+    }
+
     @Test
     void aMajorityHasOneLeader() {
         Fleet fleet = new Fleet();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
@@ -362,6 +362,7 @@
         release();
         long millis = now() - exchange().arrivedAtMillis();
         context.metrics().finished(admitted.rule().kind(), outcome, millis);
+        admitted.priority().ifPresent(priority -> context.metrics().finished(priority, outcome));
         log("end")
                 .with("outcome", outcome)
                 .with("status", status)
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -188,6 +188,7 @@
                     .with("ahead", ahead.map(call -> call.request().attemptId()).orElse("none"))
                     .with("waitedMillis", now() - exchange().arrivedAtMillis())
                     .write();
+            context.metrics().overtaken(cost.priority());
             giveUp(NO_ENGINE_CAPACITY);
         }
     }
@@ -307,6 +308,7 @@
                 .with("untilMillis", place.standing().expiresAtMillis() - now())
                 .with("best", capacityQueue.bestRank())
                 .with("lineMillis", capacityQueue.drainMillis())
+                .with("keptEngines", context.keptRoom().keptEngines(admitted.service()))
                 .write();
         if (!queued) {
             giveUp(NO_ENGINE_CAPACITY);
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/log/GatewayMetrics.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/log/GatewayMetrics.java
@@ -6,6 +6,7 @@
 import java.util.function.DoubleSupplier;
 
 import org.guavathread.core.routing.CallKind;
+import org.guavathread.core.routing.Priority;
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
@@ -27,6 +28,16 @@
             .help("Requests by kind and outcome.")
             .labelNames("kind", "outcome")
             .register(registry);
+    private final Counter prioritised = Counter.builder()
+            .name("guavathread_prioritised_requests_total")
+            .help("Requests of services with different priorities, by rank (0 is the most urgent) and outcome.")
+            .labelNames("priority", "outcome")
+            .register(registry);
+    private final Counter overtaken = Counter.builder()
+            .name("guavathread_overtaken_requests_total")
+            .help("Waiting requests that were refused because more urgent ones left no room in time, by rank.")
+            .labelNames("priority")
+            .register(registry);
     private final Counter sends = Counter.builder()
             .name("guavathread_sends_total")
             .help("Sends to backend servers by step and result.")
@@ -79,6 +90,25 @@
         requestDuration.labelValues(kind.name()).observe(millis / MILLIS_PER_SECOND);
     }
 
+    /**
+     * Counts a finished request of a service whose requests have different priorities.
+     *
+     * @param priority its priority
+     * @param outcome the outcome for the caller
+     */
+    public void finished(Priority priority, String outcome) {
+        prioritised.labelValues(priority.toString(), outcome).inc();
+    }
+
+    /**
+     * Counts a waiting request that was refused for more urgent ones.
+     *
+     * @param priority its priority
+     */
+    public void overtaken(Priority priority) {
+        overtaken.labelValues(priority.toString()).inc();
+    }
+
     /**
      * Counts a request that was refused before its route was known.
      *
