--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
@@ -180,7 +180,7 @@
         return new SendOptions(
                 worker,
                 admitted.workspace().map(w -> w.id()),
-                admitted.priority(),
+                request().work().flatMap(work -> admitted.priority()),
                 Math.max(1, untilMillis - now()),
                 untilMillis,
                 prefillResult,
@@ -370,6 +370,7 @@
         release();
         long millis = now() - exchange().arrivedAtMillis();
         context.metrics().finished(admitted.rule().kind(), outcome, millis);
+        admitted.priority().ifPresent(priority -> context.metrics().finished(priority, outcome));
         log("end")
                 .with("outcome", outcome)
                 .with("status", status)
