Keep serving servers that only may be cold when their owner is silent

Cause: while the store does not answer, every request to a service with cold terms asks an owner.

Change: windows of servers that only may be cold start empty; without an owner a host sends such a server one request in 1.5 s; an owner that did not answer is not asked about cold servers for a second; a server that could not be connected to may be cold, until it answers. ColdServersTest (13), ColdServersLoadTest (10), ColdServerTest (4), StatedLimitLoadTest (20), StatedLimitTest (5), StrandedHostTest (12), MessageFormatTest (11) hold.

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/ColdServers.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/ColdServers.java
@@ -32,7 +32,7 @@
     public enum Warmth {
         /** Warm, or of a service whose servers are never cold. */
         WARM,
-        /** Possibly cold, since this host does not hear of changes now. */
+        /** Possibly cold, since this host does not hear of changes now, or cannot connect to the server. */
         UNKNOWN,
         /** Cold. */
         COLD
@@ -185,12 +185,10 @@
         if (!terms.containsKey(server.service())) {
             return Warmth.WARM;
         }
-        boolean isCold = unreached.contains(server.id())
-                || nowMillis < Math.max(server.coldUntilMillis(), coldUntilMillis.getOrDefault(server.id(), 0L));
-        if (isCold) {
+        if (nowMillis < Math.max(server.coldUntilMillis(), coldUntilMillis.getOrDefault(server.id(), 0L))) {
             return Warmth.COLD;
         }
-        return hearsOfChanges ? Warmth.WARM : Warmth.UNKNOWN;
+        return hearsOfChanges && !unreached.contains(server.id()) ? Warmth.WARM : Warmth.UNKNOWN;
     }
 
     /**
@@ -237,12 +235,8 @@
      * @return servers
      */
     public int size(long nowMillis) {
-        Set<BackendServerId> cold = new HashSet<>(unreached);
-        coldUntilMillis.forEach((id, until) -> {
-            if (nowMillis < until) {
-                cold.add(id);
-            }
-        });
-        return cold.size();
+        return (int) coldUntilMillis.values().stream()
+                .filter(until -> nowMillis < until)
+                .count();
     }
 }
--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/PermitTerms.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/PermitTerms.java
@@ -31,6 +31,15 @@
         return new PermitTerms(OptionalDouble.empty(), OptionalDouble.of(perSecond), true);
     }
 
+    /**
+     * Tells whether nothing binds the request but the possibility that the server is cold.
+     *
+     * @return true if the server states no limit and is not known to be cold
+     */
+    boolean isDoubtOnly() {
+        return statedPerSecond.isEmpty() && !isColdForSure;
+    }
+
     /** Returns whether any limit binds the request. */
     boolean isBinding() {
         return statedPerSecond.isPresent() || coldPerSecond.isPresent();
--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerLimits.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerLimits.java
@@ -50,6 +50,9 @@
     /** The same for cold servers, whose requests are counted in one second. */
     private static final long COLD_GRANT_WINDOW_MILLIS = 1_000 + MAX_TRANSIT_MILLIS;
 
+    /** Time for which a server is left alone when its owner does not answer. */
+    private static final long OWNER_SILENT_MILLIS = 300;
+
     /** Tolerated requests that are not granted, for one that the owner did not hear of. */
     private static final int RESERVE = 1;
 
@@ -79,21 +82,25 @@
             return new Allowance(windowSize(perSecond, share), GRANT_WINDOW_MILLIS, true);
         }
 
+        /** Returns what a host may send by itself to a server that may be cold. */
+        private static Allowance own() {
+            return new Allowance(1, COLD_GRANT_WINDOW_MILLIS, false);
+        }
+
         private static Allowance cold(double perSecond, boolean isColdForSure, double share) {
             double requests = Math.min(MAX_LIMIT_PER_SECOND, perSecond) * share;
             if (requests >= 1) {
-                return new Allowance((int) requests, COLD_GRANT_WINDOW_MILLIS, true);
+                return new Allowance((int) requests, COLD_GRANT_WINDOW_MILLIS, isColdForSure);
             }
             // Hosts that are each cut off from the others have a small share, and together must not send one each.
-            return isColdForSure
-                    ? new Allowance(1, (long) (COLD_GRANT_WINDOW_MILLIS / requests), true)
-                    : new Allowance(1, COLD_GRANT_WINDOW_MILLIS, false);
+            return isColdForSure ? new Allowance(1, (long) (COLD_GRANT_WINDOW_MILLIS / requests), true) : own();
         }
     }
 
     private enum Kind {
         STATED,
-        COLD
+        COLD,
+        OWN
     }
 
     private record WindowKey(BackendServerId server, Kind kind) {}
@@ -298,6 +305,29 @@
         return waitMillis;
     }
 
+    /**
+     * Decides about a request whose owner does not answer. Servers that are only possibly cold get few requests then, since
+     * an outage of the store together with a lost owner would otherwise leave them unused.
+     *
+     * @param server the server
+     * @param terms its limits
+     * @param nowMillis the current time
+     * @return 0 if the request may be sent now, otherwise the milliseconds after which to ask again
+     */
+    public long grantWithoutOwner(BackendServerId server, PermitTerms terms, long nowMillis) {
+        if (!terms.isDoubtOnly()) {
+            return OWNER_SILENT_MILLIS;
+        }
+        Allowance allowance = Allowance.own();
+        Window window =
+                windows.computeIfAbsent(new WindowKey(server, Kind.OWN), key -> new Window(allowance, nowMillis));
+        if (!window.hasRoom(allowance, nowMillis)) {
+            return OWNER_SILENT_MILLIS;
+        }
+        window.grant(nowMillis);
+        return 0;
+    }
+
     private void bind(
             Map<Window, Allowance> binding, BackendServerId server, Kind kind, Allowance allowance, long nowMillis) {
         Window window = windows.computeIfAbsent(new WindowKey(server, kind), key -> new Window(allowance, nowMillis));
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/PermitClient.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/PermitClient.java
@@ -1,6 +1,9 @@
 package org.guavathread.gateway.fleet;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 import org.guavathread.core.dispatch.PermitTerms;
@@ -19,8 +22,8 @@
 /** Obtains permits for requests to servers with a limit from the owners of the limits. Runs on the event loop's thread. */
 public final class PermitClient implements RequestRouter.Permits {
 
-    /** Time for which a server is left alone when the owner of its limit does not answer. */
-    private static final long OWNER_SILENT_MILLIS = 300;
+    /** Time for which an owner that did not answer is not asked about cold servers: it is noticed to be gone later. */
+    private static final long OWNER_AVOIDED_MILLIS = 1_000;
 
     private static final int STATUS_OK = 200;
 
@@ -29,6 +32,7 @@
     private final FleetView fleet;
     private final PermitRelay relay = new PermitRelay();
     private final UnreadableMessages unreadable;
+    private final Map<HostId, Long> silentUntilMillis = new HashMap<>();
 
     /**
      * Creates a client.
@@ -60,29 +64,40 @@
         Optional<HostReport> peer = fleet.reachableHosts(now()).stream()
                 .filter(r -> r.host().equals(owner))
                 .findFirst();
-        if (peer.isEmpty()) {
-            answered(server, OWNER_SILENT_MILLIS, onResult);
+        boolean isSilent = terms.get().statedPerSecond().isEmpty()
+                && now() < silentUntilMillis.getOrDefault(owner, Long.MIN_VALUE);
+        if (peer.isEmpty() || isSilent) {
+            answered(server, withoutOwner(server, terms.get()), onResult);
             return;
         }
         context.client()
                 .send(peer.get().peers(), relay.request(server, terms.get(), now()))
                 .whenComplete((answer, failure) -> context.loop()
-                        .execute(() -> answered(server, roomInMillis(peer.get(), answer, failure), onResult)));
+                        .execute(() -> answered(
+                                server,
+                                roomInMillis(peer.get(), answer, failure)
+                                        .orElseGet(() -> withoutOwner(server, terms.get())),
+                                onResult)));
     }
 
-    private long roomInMillis(HostReport peer, HttpResponse answer, Throwable failure) {
+    private long withoutOwner(BackendServerId server, PermitTerms terms) {
+        return context.serverLimits().grantWithoutOwner(server, terms, now());
+    }
+
+    private OptionalLong roomInMillis(HostReport peer, HttpResponse answer, Throwable failure) {
         if (failure != null || answer.status() != STATUS_OK) {
             Logger.warn(
                     "Asking host {} for a permit failed: {}.",
                     peer.host(),
                     failure == null ? "status " + answer.status() : failure.getMessage());
-            return OWNER_SILENT_MILLIS;
+            silentUntilMillis.put(peer.host(), now() + OWNER_AVOIDED_MILLIS);
+            return OptionalLong.empty();
         }
         try {
-            return relay.decode(answer.body()).roomInMillis();
+            return OptionalLong.of(relay.decode(answer.body()).roomInMillis());
         } catch (CodecException e) {
             unreadable.count(peer.host(), e);
-            return OWNER_SILENT_MILLIS;
+            return OptionalLong.empty();
         }
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/ReachMonitor.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/ReachMonitor.java
@@ -73,7 +73,7 @@
         if (!lost.isEmpty() && now >= nextProbeMillis) {
             nextProbeMillis = now + PROBE_INTERVAL_MILLIS;
             context.reach()
-                    .nextToProbe(context.pauses().withoutPause(lost, now))
+                    .nextToProbe(context.coldServers().notCold(context.pauses().withoutPause(lost, now), now))
                     .ifPresent(this::probe);
         }
     }
