--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -35,12 +35,6 @@
     /** Timeout of a reservation call. The call is small, so an engine that takes longer is considered unhealthy. */
     private static final long RESERVE_TIMEOUT_MILLIS = 400;
 
-    /** Under the callers' protocol, callers wait at most the remaining time divided by this before they retry. */
-    private static final int RETRY_DELAY_DIVISOR = 3;
-
-    /** Minimum retry delay as a share of the maximum, because bursts last for some seconds. */
-    private static final double MIN_RETRY_DELAY_SHARE = 0.5;
-
     /** Age up to which a permit is used: with the transit, grants count for 500 ms longer than the arrivals. */
     private static final long MAX_PERMIT_AGE_MILLIS = 300;
 
@@ -520,14 +514,11 @@
      */
     @Override
     long retryDelayMillis() {
-        double share = MIN_RETRY_DELAY_SHARE
-                + (1 - MIN_RETRY_DELAY_SHARE) * context.random().nextDouble();
-        long maxDelayMillis = Math.min(
-                remainingMillis() / RETRY_DELAY_DIVISOR,
-                context.answerPace()
-                        .latestRetryMillis(
-                                remainingMillis(), admitted.rule().targetMillis(), work.expectedOutputTokens()));
-        return Math.max(super.retryDelayMillis(), (long) (share * maxDelayMillis));
+        long latestMillis = context.answerPace()
+                .latestRetryMillis(remainingMillis(), admitted.rule().targetMillis(), work.expectedOutputTokens());
+        long delayMillis = WaitingPlace.retryDelayMillis(
+                remainingMillis(), latestMillis, context.random().nextDouble());
+        return Math.max(super.retryDelayMillis(), delayMillis);
     }
 
     boolean isOpen() {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/WaitingPlace.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/WaitingPlace.java
@@ -15,6 +15,12 @@
     /** Share of the target within which a request must get capacity to be on time; the prefill takes the rest. */
     private static final double ON_TIME_SHARE = 0.5;
 
+    /** Under the callers' protocol, callers wait at most the remaining time divided by this before they retry. */
+    private static final int RETRY_DELAY_DIVISOR = 3;
+
+    /** Minimum retry delay as a share of the maximum, because bursts last for some seconds. */
+    private static final double MIN_RETRY_DELAY_SHARE = 0.5;
+
     private WaitingPlace() {}
 
     /** Returns the place of a request whose caller has waited since a time. */
@@ -33,4 +39,16 @@
                 .build();
         return new FairAdmissionQueue.Attributes(standing, isContinuation ? Lane.CONTINUATION : Lane.NEW);
     }
+
+    /**
+     * Returns after which delay a refused caller is to come back.
+     *
+     * @param remainingMillis for how long the caller waits
+     * @param latestMillis delay after which its answer would end too late
+     * @param draw a random number from 0 (included) to 1 (excluded)
+     */
+    static long retryDelayMillis(long remainingMillis, long latestMillis, double draw) {
+        double share = MIN_RETRY_DELAY_SHARE + (1 - MIN_RETRY_DELAY_SHARE) * draw;
+        return (long) (share * Math.min(remainingMillis / RETRY_DELAY_DIVISOR, latestMillis));
+    }
 }
