--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/KeptRoom.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/KeptRoom.java
@@ -21,9 +21,9 @@
 public final class KeptRoom {
 
     /** Part of the engines that is kept at most, so that less urgent requests are served as well. */
-    private static final double MAX_KEPT_SHARE = 0.6;
+    private static final double MAX_KEPT_SHARE = 0.5;
 
-    /** Room that is kept as a multiple of the recent demand, which reports show some hundred milliseconds late. */
+    /** Room that is kept as a multiple of the average demand, around which the number of requests varies. */
     private static final double MARGIN = 1.25;
 
     private record KeptEngines(List<BackendServerId> engines, int count, Set<BackendServerId> kept) {}
--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/PriorityDemand.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/PriorityDemand.java
@@ -9,18 +9,21 @@
 import org.guavathread.core.routing.ServiceName;
 
 /**
- * Requests of all hosts that run or wait, by priority, for services whose requests have different priorities. Counts fall
- * slowly, since urgent requests come one at a time and the next one arrives before long. Not thread-safe.
+ * Requests of all hosts that run or wait, by priority, for services whose requests have different priorities. Counts are
+ * averages over some seconds, since urgent requests come one at a time and the next one arrives before long. Not thread-safe.
  */
 public final class PriorityDemand {
 
-    /** Half-life of a demand that is over: several times the duration of a language request. */
-    private static final double HALF_LIFE_MILLIS = 6_000;
+    /** Half-life of the averages: about as long as a language request occupies engine memory. */
+    private static final double HALF_LIFE_MILLIS = 3_000;
+
+    /** Average below which there is no demand: one request for a second in twenty. */
+    private static final double MIN_REQUESTS = 0.05;
 
     /**
      * Requests of one or more priorities.
      *
-     * @param requests number of those that run or can still be on time
+     * @param requests average number of those that run, and number of those that wait and can still be on time
      * @param tokens tokens of memory that one of them occupies
      */
     public record Demand(double requests, double tokens) {
@@ -36,7 +39,8 @@
     private record Level(ServiceName service, Priority priority) {}
 
     private Map<Level, PriorityLoad> elsewhere = Map.of();
-    private final Map<Level, Demand> peaks = new HashMap<>();
+    private final Map<Level, Integer> waiting = new HashMap<>();
+    private final Map<Level, Demand> averages = new HashMap<>();
     private long updatedAtMillis;
 
     /**
@@ -50,11 +54,14 @@
         elsewhere = sums(others);
         Map<Level, PriorityLoad> all = new HashMap<>(elsewhere);
         sums(own).forEach((level, load) -> all.merge(level, load, PriorityLoad::plus));
+        waiting.clear();
+        all.forEach((level, load) -> waiting.put(level, load.onTime() + load.aboveShare()));
         double factor = Math.pow(0.5, Math.max(0, nowMillis - updatedAtMillis) / HALF_LIFE_MILLIS);
         updatedAtMillis = nowMillis;
-        peaks.replaceAll((level, peak) -> new Demand(peak.requests() * factor, peak.tokens()));
-        peaks.values().removeIf(peak -> peak.requests() < 0.5);
-        all.forEach((level, load) -> peaks.merge(level, demandOf(load), PriorityDemand::higher));
+        averages.replaceAll((level, average) -> new Demand(average.requests() * factor, average.tokens()));
+        all.forEach((level, load) -> averages.merge(level, demandOf(load, 1 - factor), PriorityDemand::combined));
+        averages.entrySet()
+                .removeIf(e -> e.getValue().requests() < MIN_REQUESTS && waiting.getOrDefault(e.getKey(), 0) == 0);
     }
 
     private static Map<Level, PriorityLoad> sums(List<PriorityLoad> loads) {
@@ -64,15 +71,14 @@
     }
 
     /** A large request that waits needs its whole size, while those that run need their mean. */
-    private static Demand demandOf(PriorityLoad load) {
+    private static Demand demandOf(PriorityLoad load, double weight) {
         double mean = load.running() == 0 ? 0 : load.heldTokens() / (double) load.running();
-        return new Demand(
-                load.running() + load.onTime() + load.aboveShare(), Math.max(mean, load.largestWaitingTokens()));
+        return new Demand(weight * load.running(), Math.max(mean, load.largestWaitingTokens()));
     }
 
-    private static Demand higher(Demand decayed, Demand current) {
+    private static Demand combined(Demand decayed, Demand current) {
         double tokens = current.tokens() > 0 ? current.tokens() : decayed.tokens();
-        return new Demand(Math.max(decayed.requests(), current.requests()), tokens);
+        return new Demand(decayed.requests() + current.requests(), tokens);
     }
 
     /**
@@ -80,13 +86,13 @@
      *
      * @param service the service
      * @param priority the priority
-     * @return the highest recent demand
+     * @return their number and the size of the largest kind
      */
     public Demand moreUrgentThan(ServiceName service, Priority priority) {
-        return peaks.entrySet().stream()
+        return averages.entrySet().stream()
                 .filter(e -> e.getKey().service().equals(service))
                 .filter(e -> e.getKey().priority().isMoreUrgentThan(priority))
-                .map(Map.Entry::getValue)
+                .map(e -> e.getValue().plus(new Demand(waiting.getOrDefault(e.getKey(), 0), 0)))
                 .reduce(Demand.NONE, Demand::plus);
     }
 
