--- a/guavathread-core/src/test/java/org/guavathread/core/share/SharedLimitsProperties.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/share/SharedLimitsProperties.java
@@ -5,7 +5,6 @@
 import java.util.Random;
 import java.util.Set;
 
-import org.guavathread.core.id.HostId;
 import org.guavathread.core.id.WorkspaceId;
 import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.routing.WorkspaceTerms;
@@ -52,20 +51,21 @@
             pendingRequests += requestsPerMilli;
             while (pendingRequests >= 1) {
                 pendingRequests--;
-                if (limits.get(random.nextInt(hosts)).admit(TERMS, perRequest, now) == 0) {
+                SharedTokenLimits chosen = limits.get(random.nextInt(hosts));
+                if (chosen.admit(TERMS, perRequest, now) == 0 && chosen.send(TERMS, perRequest, now) == 0) {
                     admissions.add(new Admission(now, perRequest));
                 }
             }
             if (now % REPORT_MILLIS == 0) {
                 boolean partitioned = now >= partitionFromMillis && now < partitionToMillis;
-                exchange(limits, partitioned);
+                exchange(limits, partitioned, now);
             }
         }
         return admissions;
     }
 
     /** Exchanges reports among all hosts; in a partition, the first host is separated from all others. */
-    private static void exchange(List<SharedTokenLimits> limits, boolean partitioned) {
+    private static void exchange(List<SharedTokenLimits> limits, boolean partitioned, long now) {
         int hosts = limits.size();
         for (int to = 0; to < hosts; to++) {
             int reachable = 1;
@@ -76,11 +76,9 @@
                 reachable++;
                 int sender = from;
                 SharedTokenLimits receiver = limits.get(to);
-                limits.get(sender)
-                        .totals()
-                        .forEach(t -> receiver.applyTotal(new HostId("h" + sender), 1, t.workspace(), t.units()));
+                receiver.applyTotals(sender, now, limits.get(sender).totals(), now);
             }
-            limits.get(to).setReachableShare(reachable / (double) hosts);
+            limits.get(to).setFleet(hosts, reachable / (double) hosts);
         }
     }
 
@@ -125,6 +123,7 @@
     void chargeOfARequestThatDidNotRunIsRefunded() {
         SharedTokenLimits limits = new SharedTokenLimits(0, true);
         assertEquals(0, limits.admit(TERMS, BURST, 1_000));
+        assertEquals(0, limits.send(TERMS, BURST, 1_000));
         assertTrue(limits.admit(TERMS, 1, 1_000) > 0);
         limits.refund(TERMS.id(), BURST);
         assertEquals(0, limits.admit(TERMS, 1, 1_000));
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.guavathread.core.registry.DepartureNotice;
 import org.guavathread.core.routing.CallerBounds;
 import org.guavathread.core.routing.RoutingTable;
+import org.guavathread.core.share.SpendingNotice;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.core.stream.StreamOriginNotice;
 import org.guavathread.core.time.Clock;
@@ -318,6 +319,8 @@
                 origins.receive(notice);
             } else if (message instanceof DepartureNotice notice) {
                 stateSynchroniser.receive(notice);
+            } else if (message instanceof SpendingNotice notice) {
+                reporter.receive(notice);
             }
         });
     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
@@ -51,6 +51,7 @@
     private final EventLoop.Timer deadline;
     private HttpCall backendCall;
     private boolean ended;
+    private boolean isCharged;
     private boolean mayHaveRun;
     private boolean runInProgress;
     private int runs;
@@ -184,6 +185,31 @@
         backendCall = call;
     }
 
+    /**
+     * Charges the request to its workspace before it is sent to a server that runs it. Refuses it if the fleet has used up
+     * the limit while it waited.
+     */
+    boolean refusedByLimit() {
+        if (isCharged || admitted.workspace().isEmpty()) {
+            return false;
+        }
+        WorkspaceTerms workspace = admitted.workspace().get();
+        long waitMillis = context.limits().send(workspace, admitted.charge(), now());
+        if (waitMillis == 0) {
+            isCharged = true;
+            return false;
+        }
+        log("charge")
+                .with("workspace", workspace.id())
+                .with("waitMillis", waitMillis)
+                .write();
+        refuse(Refusal.notRun(
+                        RefusalCode.RATE_LIMITED,
+                        "Workspace " + workspace.id() + " has used up its limit while the request waited.")
+                .retryAfter(waitMillis));
+        return true;
+    }
+
     /** Sets an exchange in which a backend server runs the request. Until it ends, the request may have run. */
     void setRunCall(HttpCall call) {
         backendCall = call;
@@ -329,7 +355,11 @@
     }
 
     private void refund(WorkspaceTerms workspace) {
-        context.limits().refund(workspace.id(), admitted.charge());
+        if (isCharged) {
+            context.limits().refund(workspace.id(), admitted.charge());
+        } else {
+            context.limits().release(workspace.id(), admitted.charge());
+        }
         context.shares().recordUsage(workspace.id(), -admitted.charge(), now());
     }
 
@@ -353,7 +383,7 @@
             return;
         }
         ended = true;
-        if (!hasRun()) {
+        if (!hasRun() || !isCharged) {
             admitted.workspace().ifPresent(this::refund);
         }
         deadline.cancel();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
@@ -116,6 +116,9 @@
     }
 
     private void send(Worker worker) {
+        if (refusedByLimit()) {
+            return;
+        }
         tried.add(worker.id());
         ticket = context.loads().open(worker.id(), 0, 0);
         long untilMillis = runDeadline();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -388,7 +388,7 @@
         boolean prefillLeft = separatePrefill && !isUsable(plan.prefill().get());
         if (prefillLeft || !isUsable(plan.decode())) {
             placeAgain(prefillLeft ? plan.prefill().get() : plan.decode());
-        } else {
+        } else if (!refusedByLimit()) {
             withPermit(plan.decode(), () -> permitted(plan, separatePrefill), this::placeElsewhere);
         }
     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
@@ -16,6 +16,7 @@
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.registry.DepartedServers;
 import org.guavathread.core.registry.DepartureNotice;
+import org.guavathread.core.share.SpendingNotice;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.gateway.call.GatewayContext;
 import org.guavathread.gateway.call.RequestRouter;
@@ -41,6 +42,9 @@
     /** Maximum number of heartbeats in one datagram: at about 16 bytes each, half of a datagram. */
     private static final int MAX_HEARTBEATS = 48;
 
+    /** Maximum number of workspaces' totals in one datagram: at about 20 bytes each, less than a datagram. */
+    private static final int MAX_SPENDING_TOTALS = 48;
+
     private static final int STATUS_OK = 200;
 
     /**
@@ -222,11 +226,10 @@
         if (!fleet.apply(report, now)) {
             return;
         }
-        report.admitted().forEach(total -> {
-            double newUnits =
-                    context.limits().applyTotal(report.host(), report.incarnation(), total.workspace(), total.units());
-            context.shares().recordUsage(total.workspace(), newUnits, now);
-        });
+        int process = HostHeartbeat.processOf(report.host(), report.incarnation());
+        context.limits()
+                .applyTotals(process, report.sequence(), report.admitted(), now)
+                .forEach(spent -> context.shares().recordUsage(spent.workspace(), spent.units(), now));
         context.crashSuspects().merge(report.crashed(), now);
         context.serverLimits().merge(report.limits(), now);
         if (now - summedAtMillis >= LOAD_SUM_INTERVAL_MILLIS) {
@@ -234,6 +237,21 @@
         }
     }
 
+    /**
+     * Applies what other hosts have spent of limits that are nearly used up.
+     *
+     * @param notice their totals
+     */
+    public void receive(SpendingNotice notice) {
+        long now = context.loop().nowMillis();
+        int own = HostHeartbeat.processOf(identity.host(), identity.incarnation());
+        notice.totals().stream()
+                .filter(total -> total.process() != own)
+                .forEach(total -> context.limits()
+                        .apply(total, now)
+                        .ifPresent(spent -> context.shares().recordUsage(spent.workspace(), spent.units(), now)));
+    }
+
     private void sumReports(long nowMillis) {
         summedAtMillis = nowMillis;
         context.loads().replaceRemoteLoads(fleet.loadOfOthers(nowMillis));
@@ -245,7 +263,7 @@
         sentAtMillis = now;
         fleet.expire(now);
         context.shares().expire(now);
-        context.limits().setReachableShare(fleet.reachableShare(now));
+        context.limits().setFleet(fleet.size(), fleet.reachableShare(now));
         context.retries().setHostCount(fleet.size());
         context.serverLimits().setHosts(readyHosts(now), fleet.reachableShare(now));
         sumReports(now);
@@ -254,6 +272,7 @@
         List<SocketAddressText> receivers = fleet.receivers(identity.peers());
         sendPacket(receivers, now);
         sendDepartures(receivers, now);
+        sendSpending(receivers, now);
         fleet.nextSyncSource(now).ifPresent(this::requestReports);
     }
 
@@ -266,6 +285,17 @@
         }
     }
 
+    private void sendSpending(List<SocketAddressText> receivers, long nowMillis) {
+        context.limits().expire(nowMillis);
+        int own = HostHeartbeat.processOf(identity.host(), identity.incarnation());
+        List<SpendingNotice.Total> totals = context.limits().news(own, sequence, MAX_SPENDING_TOTALS, nowMillis);
+        if (!totals.isEmpty()) {
+            byte[] notice = socket.encode(new SpendingNotice(totals));
+            context.metrics().sent("spending", "SENT");
+            receivers.forEach(to -> socket.send(to, notice));
+        }
+    }
+
     private void requestReports(HostReport peer) {
         context.client()
                 .send(peer.peers(), relay.request(context.loop().nowMillis()))
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipSocket.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipSocket.java
@@ -23,6 +23,7 @@
 import org.guavathread.core.gossip.HostReport;
 import org.guavathread.core.message.PeerMessage;
 import org.guavathread.core.registry.DepartureNotice;
+import org.guavathread.core.share.SpendingNotice;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.core.stream.StreamOriginNotice;
 import org.guavathread.gateway.log.GatewayMetrics;
@@ -42,6 +43,7 @@
     private static final int GOSSIP_MESSAGE = 1;
     private static final int STREAM_ORIGIN_MESSAGE = 2;
     private static final int DEPARTURE_MESSAGE = 3;
+    private static final int SPENDING_MESSAGE = 4;
 
     /** Fits into one network packet; a fragmented datagram would be lost with any one of its fragments. */
     public static final int MAX_DATAGRAM_BYTES = 1_400;
@@ -52,7 +54,8 @@
     private final FrameCodec codec = FrameCodec.forSeveralBuilds(new MessageRegistry()
             .register(GOSSIP_MESSAGE, GossipPacket.class)
             .register(STREAM_ORIGIN_MESSAGE, StreamOriginNotice.class)
-            .register(DEPARTURE_MESSAGE, DepartureNotice.class));
+            .register(DEPARTURE_MESSAGE, DepartureNotice.class)
+            .register(SPENDING_MESSAGE, SpendingNotice.class));
     private final ReportFormats formats = new ReportFormats();
     private final UDPNIOTransport transport;
     private Connection<SocketAddress> socket;
--- a/guavathread-gateway/src/test/java/org/guavathread/gateway/fleet/MessageFormatTest.java
+++ b/guavathread-gateway/src/test/java/org/guavathread/gateway/fleet/MessageFormatTest.java
@@ -20,6 +20,7 @@
 import org.guavathread.core.registry.DepartedServers;
 import org.guavathread.core.registry.DepartureNotice;
 import org.guavathread.core.registry.SoftwareVersion;
+import org.guavathread.core.share.SpendingNotice;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.core.stream.StreamOriginNotice;
 import org.guavathread.core.stream.StreamOrigins;
@@ -168,6 +169,13 @@
         assertDatagram("940300c290", new DepartureNotice(List.of()));
     }
 
+    @Test
+    void spendingNotice() {
+        assertDatagram(
+                "940400c29194d2ffe17b80cd012c75ce0012d687",
+                new SpendingNotice(List.of(new SpendingNotice.Total(-2_000_000, 300, 117, 1_234_567))));
+    }
+
     @Test
     void reportsOfTheFleet() {
         FleetRelay relay = new FleetRelay();
