--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -399,7 +399,7 @@
         boolean prefillLeft = separatePrefill && !isUsable(plan.prefill().get());
         if (prefillLeft || !isUsable(plan.decode())) {
             placeAgain(prefillLeft ? plan.prefill().get() : plan.decode());
-        } else {
+        } else if (!refusedByLimit()) {
             withPermit(plan.decode(), SendPurpose.WORK, () -> permitted(plan, separatePrefill), this::placeElsewhere);
         }
     }
