--- a/guavathread-core/src/test/java/org/guavathread/core/share/LimitedFleet.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/share/LimitedFleet.java
@@ -114,7 +114,9 @@
                     List.of(),
                     List.of(),
                     List.of(),
-                    false);
+                    false,
+                    0,
+                    List.of());
         }
 
         private int process() {
