--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/KeptRoom.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/KeptRoom.java
@@ -16,15 +16,27 @@
  * urgent one arrives, and many small requests leave memory in one piece for large ones. Less urgent requests do not use these
  * engines at all: hosts know the load of an engine some hundred milliseconds late, so together they would exceed any part of
  * it that they may fill. Hosts choose the same engines by rendezvous hashing; the number of engines follows the recent demand
- * of the more urgent requests. A host that hears nothing keeps engines for its own urgent requests only. Not thread-safe.
+ * of the more urgent requests, and few are kept if an urgent request displaces many others. A host that hears nothing keeps engines for its own urgent requests only. Not thread-safe.
  */
 public final class KeptRoom {
 
     /** Part of the engines that is kept at most, so that less urgent requests are served as well. */
     private static final double MAX_KEPT_SHARE = 0.5;
 
+    /** The same where one urgent request takes the room of many less urgent ones, whose callers would pay for it. */
+    private static final double MAX_KEPT_SHARE_FOR_LARGE = 0.1;
+
+    /** Less urgent requests that one urgent request may displace before it counts as large. */
+    private static final double MAX_DISPLACED = 3;
+
+    /**
+     * Part of the memory of a kept engine that urgent requests fill: hosts learn some hundred milliseconds late that one of
+     * them has ended.
+     */
+    private static final double PLANNED_UTILISATION = 0.7;
+
     /** Room that is kept as a multiple of the average demand, around which the number of requests varies. */
-    private static final double MARGIN = 1.25;
+    private static final double MARGIN = 1.5;
 
     private record KeptEngines(List<BackendServerId> engines, int count, Set<BackendServerId> kept) {}
 
@@ -52,9 +64,12 @@
     public RoomLimit limitFor(ServiceName service, Priority priority, List<Worker> engines, int memoryTokens) {
         PriorityDemand.Demand urgent = demand.moreUrgentThan(service, priority);
         double requestsOfAnEngine =
-                Math.max(1, Math.floor(RoomLimit.MAX_UTILISATION * memoryTokens / Math.max(1, urgent.tokens())));
+                Math.max(1, Math.floor(PLANNED_UTILISATION * memoryTokens / Math.max(1, urgent.tokens())));
         int wanted = (int) Math.ceil(MARGIN * urgent.requests() / requestsOfAnEngine);
-        int count = Math.min((int) (MAX_KEPT_SHARE * engines.size()), wanted);
+        boolean isLarge =
+                urgent.tokens() > MAX_DISPLACED * demand.of(service, priority).tokens();
+        double maxShare = isLarge ? MAX_KEPT_SHARE_FOR_LARGE : MAX_KEPT_SHARE;
+        int count = Math.min((int) (maxShare * engines.size()), wanted);
         if (count == 0) {
             latest.remove(service);
             return RoomLimit.NONE_KEPT;
--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/PriorityDemand.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/PriorityDemand.java
@@ -96,6 +96,17 @@
                 .reduce(Demand.NONE, Demand::plus);
     }
 
+    /**
+     * Returns the demand of the requests of one priority.
+     *
+     * @param service the service
+     * @param priority the priority
+     * @return their number and size
+     */
+    public Demand of(ServiceName service, Priority priority) {
+        return averages.getOrDefault(new Level(service, priority), Demand.NONE);
+    }
+
     /**
      * Returns the best rank of the requests of one priority that wait at other hosts.
      *
