Name to callers only hosts that have themselves given a sign of life

Cause: entry answers named ended hosts for as long as their reports went round: a host that starts takes over reports from others, also of hosts that have ended, and passes their last heartbeats on. The failure detection timeout alone is up to 8 s. Change: only a host's own reports and later heartbeats count as signs of life for entry answers, for 3.5 s at most; heartbeats are passed on for 1 s. A host that has heard of nobody yet names those that others reported. Ruled out: a shorter limit (2.5 s leaves out live hosts at 136), two signs of life in a row (3.5, 3 and 2.5 s: fails at 90).

--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
@@ -36,6 +36,15 @@
     /** Maximum failure detection timeout, for fleets of any size: callers keep an address for about as long. */
     private static final long MAX_REACH_TIMEOUT_MILLIS = 8_000;
 
+    /**
+     * Maximum time since the last sign of life of a host that is named to callers. Its last one may take seconds to arrive
+     * over several hosts, and callers must not be sent to a host that ended 6 s ago.
+     */
+    private static final long MAX_NAMED_SILENCE_MILLIS = 3_500;
+
+    /** Maximum time for which a sign of life is passed on, so that those of ended hosts do not go round for long. */
+    private static final long MAX_FORWARDED_AGE_MILLIS = 1_000;
+
     /** Maximum factor on the report interval: load that is reported later is of no use for placement. */
     private static final long MAX_INTERVAL_FACTOR = 3;
 
@@ -56,6 +65,8 @@
 
     private static final double MAJORITY = 0.5;
 
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
     /**
      * Number of receivers of one report. With forwarding, changes spread over some 100 hosts within seconds; in larger
      * fleets {@link #nextSyncSource} fills the gaps.
@@ -71,6 +82,9 @@
         private int timesReportForwarded;
         private int timesHeartbeatForwarded;
 
+        /** Time of its last own report or later heartbeat; what others report of it may be old. */
+        private long aliveAtMillis = NEVER;
+
         private Member(HostReport report, long lastSeenMillis) {
             this.report = report;
             this.sequence = report.sequence();
@@ -141,13 +155,28 @@
     }
 
     /**
-     * Applies a report.
+     * Applies a report that its host has sent to this one.
      *
-     * @param report a host's report about itself, received directly or forwarded
+     * @param report the report
      * @param nowMillis the current time
      * @return true if it is newer than the known one
      */
     public boolean apply(HostReport report, long nowMillis) {
+        boolean isNews = applyForwarded(report, nowMillis);
+        if (isNews) {
+            members.get(report.host()).aliveAtMillis = nowMillis;
+        }
+        return isNews;
+    }
+
+    /**
+     * Applies a report that another host has passed on. Its host may have ended meanwhile.
+     *
+     * @param report a host's report about itself
+     * @param nowMillis the current time
+     * @return true if it is newer than the known one
+     */
+    public boolean applyForwarded(HostReport report, long nowMillis) {
         if (report.host().equals(self)) {
             return false;
         }
@@ -194,6 +223,7 @@
             return;
         }
         member.alive(heartbeat.sequence(), nowMillis);
+        member.aliveAtMillis = nowMillis;
         if (member.report().phase() != heartbeat.phase()) {
             member.report = member.report().withPhase(heartbeat.phase());
         }
@@ -208,7 +238,7 @@
      */
     public List<HostHeartbeat> heartbeatsToForward(int limit, long nowMillis) {
         List<Member> alive = new ArrayList<>(members.values());
-        alive.removeIf(k -> nowMillis - k.lastSeenMillis() > reachTimeoutMillis());
+        alive.removeIf(k -> nowMillis - k.aliveAtMillis > MAX_FORWARDED_AGE_MILLIS);
         Collections.shuffle(alive, new java.util.Random(random.nextLong()));
         alive.sort(Comparator.comparingInt(k -> k.timesHeartbeatForwarded));
         List<Member> chosen = alive.subList(0, Math.min(limit, alive.size()));
@@ -342,14 +372,38 @@
      * @return addresses of ready reachable hosts, those in the caller's data centre first
      */
     public List<SocketAddressText> callerAddresses(DataCentreId dataCentre, boolean isCutOff, long nowMillis) {
-        List<HostReport> ready = new ArrayList<>(reachableHosts(nowMillis));
+        return hostsForCallers(dataCentre, isCutOff, nowMillis).stream()
+                .map(HostReport::callers)
+                .toList();
+    }
+
+    /**
+     * Returns the hosts, other than this one, to which callers may connect, as for {@link #callerAddresses}.
+     *
+     * @param dataCentre the caller's data centre
+     * @param isCutOff whether this host is cut off itself
+     * @param nowMillis the current time
+     * @return reports of ready hosts, those in the caller's data centre first
+     */
+    public List<HostReport> hostsForCallers(DataCentreId dataCentre, boolean isCutOff, long nowMillis) {
+        List<HostReport> ready = new ArrayList<>(hostsSeenAlive(nowMillis));
         ready.removeIf(r -> !r.phase().takesCallers());
         if (!isCutOff || anyReachesServers(nowMillis)) {
             ready.removeIf(HostReport::isCutOff);
         }
         ready.sort((a, b) -> Boolean.compare(
                 !a.dataCentre().equals(dataCentre), !b.dataCentre().equals(dataCentre)));
-        return ready.stream().map(HostReport::callers).toList();
+        return ready;
+    }
+
+    /** Returns the hosts that have lately been seen alive; none of them may be known to a host that has just started. */
+    private List<HostReport> hostsSeenAlive(long nowMillis) {
+        long maxSilenceMillis = Math.min(reachTimeoutMillis(), MAX_NAMED_SILENCE_MILLIS);
+        List<HostReport> alive = members.values().stream()
+                .filter(k -> nowMillis - k.aliveAtMillis <= maxSilenceMillis)
+                .map(Member::report)
+                .toList();
+        return alive.isEmpty() ? reachableHosts(nowMillis) : alive;
     }
 
     /**
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
@@ -211,26 +211,28 @@
      * @param packet the sender's report, and the reports and heartbeats that it forwards
      */
     public void receive(GossipPacket packet) {
-        receive(packet.own());
-        packet.others().forEach(this::receive);
         long now = context.loop().nowMillis();
+        if (fleet.apply(packet.own(), now)) {
+            applied(packet.own(), now);
+        }
+        for (HostReport other : packet.others()) {
+            if (fleet.applyForwarded(other, now)) {
+                applied(other, now);
+            }
+        }
         packet.heartbeats().forEach(sign -> fleet.apply(sign, packet.own().host(), now));
     }
 
-    private void receive(HostReport report) {
-        long now = context.loop().nowMillis();
-        if (!fleet.apply(report, now)) {
-            return;
-        }
+    private void applied(HostReport report, long nowMillis) {
         report.admitted().forEach(total -> {
             double newUnits =
                     context.limits().applyTotal(report.host(), report.incarnation(), total.workspace(), total.units());
-            context.shares().recordUsage(total.workspace(), newUnits, now);
+            context.shares().recordUsage(total.workspace(), newUnits, nowMillis);
         });
-        context.crashSuspects().merge(report.crashed(), now);
-        context.serverLimits().merge(report.limits(), now);
-        if (now - summedAtMillis >= LOAD_SUM_INTERVAL_MILLIS) {
-            sumReports(now);
+        context.crashSuspects().merge(report.crashed(), nowMillis);
+        context.serverLimits().merge(report.limits(), nowMillis);
+        if (nowMillis - summedAtMillis >= LOAD_SUM_INTERVAL_MILLIS) {
+            sumReports(nowMillis);
         }
     }
 
