Keep requests within the home regions of their routes and workspaces

Cause: homes were decoded and bound nothing. Servers outside its homes are no candidates for runs, reservations and prefills; bodies pass only through hosts in the homes; entry answers name hosts in the callers' region or in the homes. Without another server, a request is refused at once.

--- a/guavathread-core/src/main/java/org/guavathread/core/routing/RoutingTable.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/routing/RoutingTable.java
@@ -84,6 +84,18 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns the homes of the routes of a host.
+     *
+     * @param host the {@code Host} header, without port
+     * @return the homes of each route
+     */
+    public List<HomeRegions> homesAt(String host) {
+        return byHost.getOrDefault(host.toLowerCase(Locale.ROOT), Map.of()).values().stream()
+                .map(RouteRule::homes)
+                .toList();
+    }
+
     /**
      * Finds the workspace that holds an API key.
      *
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/ContextFactory.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/ContextFactory.java
@@ -90,6 +90,7 @@
                 new AnswerDurationEstimator(),
                 new DrainAdmission(),
                 new CrashSuspects(),
+                settings.regions(),
                 client,
                 platform.callerProtocol(isLeaving),
                 backendProtocol,
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/EntryAnswers.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/EntryAnswers.java
@@ -2,10 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import org.guavathread.core.gossip.FleetView;
 import org.guavathread.core.gossip.HostPhase;
 import org.guavathread.core.id.DataCentreId;
+import org.guavathread.core.id.RegionId;
+import org.guavathread.core.routing.HomeRegions;
+import org.guavathread.core.routing.RegionMap;
+import org.guavathread.core.routing.RoutingTable;
 import org.guavathread.core.sheet.SocketAddressText;
 
 /** Lists the addresses to which callers should connect, from this host's view of the fleet. Thread-safe. */
@@ -14,33 +19,48 @@
     /** Maximum number of addresses in one answer. */
     private static final int MAX_ADDRESSES = 64;
 
-    private final SocketAddressText own;
-    private volatile View view = new View(List.of(), HostPhase.STARTING, false);
+    private final Named own;
+    private final RegionMap regions;
+    private volatile View view = new View(List.of(), HostPhase.STARTING, false, Optional.empty());
 
-    private record View(List<SocketAddressText> others, HostPhase phase, boolean othersAreBetter) {}
+    /** A host that may be named. */
+    private record Named(SocketAddressText address, DataCentreId dataCentre) {}
 
-    EntryAnswers(SocketAddressText own) {
-        this.own = own;
+    private record View(List<Named> others, HostPhase phase, boolean othersAreBetter, Optional<RoutingTable> table) {}
+
+    EntryAnswers(SocketAddressText own, DataCentreId here, RegionMap regions) {
+        this.own = new Named(own, here);
+        this.regions = regions;
     }
 
-    void update(FleetView fleet, HostPhase phase, boolean isCutOff, DataCentreId here, long nowMillis) {
-        List<SocketAddressText> others = fleet.callerAddresses(here, isCutOff, nowMillis);
-        view = new View(others, phase, isCutOff && fleet.anyReachesServers(nowMillis));
+    void update(FleetView fleet, HostPhase phase, boolean isCutOff, Optional<RoutingTable> table, long nowMillis) {
+        List<Named> others = fleet.hostsForCallers(own.dataCentre(), isCutOff, nowMillis).stream()
+                .map(r -> new Named(r.callers(), r.dataCentre()))
+                .toList();
+        view = new View(others, phase, isCutOff && fleet.anyReachesServers(nowMillis), table);
     }
 
     /**
-     * Returns the addresses to which callers should connect.
+     * Returns the addresses to which callers should connect. If a route of their virtual host has homes, they are sent to
+     * hosts in their own region or in the homes, and elsewhere only if there is none.
      *
+     * @param virtualHost the virtual host that they call
+     * @param region their region; empty if it is not known
      * @return addresses of the hosts that serve callers; only this host's address if no other is known
      */
-    public List<SocketAddressText> addresses() {
+    public List<SocketAddressText> addresses(String virtualHost, Optional<RegionId> region) {
         View now = view;
-        List<SocketAddressText> addresses = new ArrayList<>();
+        List<Named> all = new ArrayList<>();
         if (now.phase().takesCallers() && !now.othersAreBetter() || now.others().isEmpty()) {
-            addresses.add(own);
+            all.add(own);
         }
-        addresses.addAll(now.others());
-        return List.copyOf(addresses.subList(0, Math.min(MAX_ADDRESSES, addresses.size())));
+        all.addAll(now.others());
+        List<HomeRegions> homes = now.table().map(t -> t.homesAt(virtualHost)).orElse(List.of());
+        List<Named> near = all.stream()
+                .filter(n -> regions.mayReceive(homes, region, n.dataCentre()))
+                .toList();
+        return (near.isEmpty() ? all : near)
+                .stream().limit(MAX_ADDRESSES).map(Named::address).toList();
     }
 
     /**
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -163,7 +163,7 @@
                 context.log(),
                 clock);
         this.fleet = new FleetView(settings.hostId(), startedAtMillis, settings.seeds(), random.split());
-        this.entry = new EntryAnswers(settings.listenCallers());
+        this.entry = new EntryAnswers(settings.listenCallers(), settings.dataCentre(), settings.regions());
         GossipSocket[] socket = new GossipSocket[1];
         socket[0] = new GossipSocket(settings.listenPeers(), this::messageReceived, context.metrics());
         GossipReporter.Identity identity = new GossipReporter.Identity(
@@ -404,7 +404,7 @@
         departureCheck.step();
         reach.step();
         reporter.cutOff(reach.isCutOff());
-        entry.update(fleet, reporter.phase(), reach.isCutOff(), settings.dataCentre(), clock.nowMillis());
+        entry.update(fleet, reporter.phase(), reach.isCutOff(), context.state().table(), clock.nowMillis());
     }
 
     /** Callers who can go nowhere else are better off with a host that is slow at first. */
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/AdmittedRequest.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/AdmittedRequest.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.guavathread.core.dispatch.CrashTrait;
+import org.guavathread.core.routing.HomeRegions;
 import org.guavathread.core.routing.RouteRule;
 import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.routing.WorkspaceTerms;
@@ -34,6 +35,11 @@
         boolean isCrashTest,
         long deadlineMillis) {
 
+    /** Returns the homes of the route and of the workspace, which both bind. */
+    HomeRegions.Allowed homes() {
+        return rule.homes().and(workspace.map(WorkspaceTerms::homes).orElse(HomeRegions.ANY));
+    }
+
     /** Returns until when a caller waits at a route, whether this host lasts as long or not. */
     static long callerDeadlineMillis(CallerExchange exchange, CallerRequest request, RouteRule rule) {
         return Math.min(request.deadlineMillis(), exchange.arrivedAtMillis() + rule.timeoutMillis());
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/BackendClient.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/BackendClient.java
@@ -4,8 +4,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
+import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.registry.Worker;
+import org.guavathread.core.routing.HomeRegions;
 import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.router.http.HttpCall;
@@ -24,10 +27,23 @@
 
     private final GatewayContext context;
     private final Relays relays;
+    private final Predicate<DataCentreId> allowed;
 
     BackendClient(GatewayContext context, Relays relays) {
+        this(context, relays, dataCentre -> true);
+    }
+
+    private BackendClient(GatewayContext context, Relays relays, Predicate<DataCentreId> allowed) {
         this.context = context;
         this.relays = relays;
+        this.allowed = allowed;
+    }
+
+    /** Returns a client whose requests go only through hosts in the homes of a request. */
+    BackendClient within(HomeRegions.Allowed homes) {
+        return homes.isRestricted()
+                ? new BackendClient(context, relays, each -> context.regions().allows(homes, each))
+                : this;
     }
 
     /** Receives a streamed answer on the event loop's thread. */
@@ -44,13 +60,13 @@
 
     /** Returns whether this host, or another one for it, can connect to servers of a service. */
     boolean isReachable(ServiceName service) {
-        return !context.isOutOfReach(service) || relays.next(Set.of()).isPresent();
+        return !context.isOutOfReach(service) || relays.next(Set.of(), allowed).isPresent();
     }
 
     /** Sends a request and buffers the complete answer. */
     HttpCall send(Worker worker, HttpRequest request, Consumer<HttpResponse> onAnswer, Consumer<Throwable> onFailure) {
         if (context.isOutOfReach(worker.service())) {
-            return new RelayedCall.Whole(context, relays, worker, request, onAnswer, onFailure).begin();
+            return new RelayedCall.Whole(context, relays, allowed, worker, request, onAnswer, onFailure).begin();
         }
         long openedAtMillis = context.loop().nowMillis();
         ReplaceableCall call = new ReplaceableCall();
@@ -66,7 +82,8 @@
                 failure -> {
                     if (!call.isCancelled() && isNowOutOfReach(worker, failure)) {
                         call.replace(
-                                new RelayedCall.Whole(context, relays, worker, request, onAnswer, onFailure).begin());
+                                new RelayedCall.Whole(context, relays, allowed, worker, request, onAnswer, onFailure)
+                                        .begin());
                     } else {
                         onFailure.accept(failure);
                     }
@@ -77,7 +94,7 @@
     /** Sends a request and passes the answer on as it arrives. */
     HttpCall stream(Worker worker, HttpRequest request, Receiver receiver) {
         if (context.isOutOfReach(worker.service())) {
-            return new RelayedCall.Streamed(context, relays, worker, request, receiver).begin();
+            return new RelayedCall.Streamed(context, relays, allowed, worker, request, receiver).begin();
         }
         long openedAtMillis = context.loop().nowMillis();
         ReplaceableCall call = new ReplaceableCall();
@@ -103,7 +120,7 @@
             @Override
             public void onFailure(HttpExchangeException failure) {
                 if (!call.isCancelled() && isNowOutOfReach(worker, failure)) {
-                    call.replace(new RelayedCall.Streamed(context, relays, worker, request, receiver).begin());
+                    call.replace(new RelayedCall.Streamed(context, relays, allowed, worker, request, receiver).begin());
                 } else {
                     receiver.onFailure(failure);
                 }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
@@ -16,6 +16,7 @@
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.request.Refusal;
 import org.guavathread.core.request.RefusalCode;
+import org.guavathread.core.routing.HomeRegions;
 import org.guavathread.core.routing.WorkspaceTerms;
 import org.guavathread.gateway.log.DecisionLog;
 import org.guavathread.gateway.loop.EventLoop;
@@ -116,8 +117,15 @@
         return admitted.deadlineMillis() - now();
     }
 
+    /** Returns the servers of the request's service, those in the homes of the request if it has some. */
     List<Worker> servers() {
-        return context.state().registry().usable(admitted.service());
+        List<Worker> usable = context.state().registry().usable(admitted.service());
+        HomeRegions.Allowed homes = admitted.homes();
+        return homes.isRestricted()
+                ? usable.stream()
+                        .filter(w -> context.regions().allows(homes, w.dataCentre()))
+                        .toList()
+                : usable;
     }
 
     /** Returns the servers that can run the request itself. */
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/GatewayContext.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/GatewayContext.java
@@ -15,6 +15,7 @@
 import org.guavathread.core.dispatch.ServerReach;
 import org.guavathread.core.publish.PublishedState;
 import org.guavathread.core.registry.Worker;
+import org.guavathread.core.routing.RegionMap;
 import org.guavathread.core.routing.ServiceName;
 import org.guavathread.core.share.FairShareTracker;
 import org.guavathread.core.share.SharedRetryBudget;
@@ -47,6 +48,7 @@
  * @param answerPace measured generation time of answers
  * @param drain decides what is still accepted while this host stops
  * @param crashSuspects fingerprints of requests that crashed backend servers
+ * @param regions the regions of the data centres
  * @param client HTTP client for backend servers and hosts
  * @param callerProtocol protocol spoken with callers
  * @param backendProtocol protocol spoken with backend servers
@@ -71,6 +73,7 @@
         AnswerDurationEstimator answerPace,
         DrainAdmission drain,
         CrashSuspects crashSuspects,
+        RegionMap regions,
         HttpClient client,
         CallerProtocol callerProtocol,
         BackendProtocol backendProtocol,
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
@@ -91,7 +91,7 @@
         } else if (!tried.isEmpty()) {
             refuseFull("No backend server is left that has not refused the request.");
         } else if (servers().isEmpty()) {
-            refuseFull("No backend server of service " + admitted.service() + " is listed.");
+            refuseFull("No backend server of service " + admitted.service() + " may get the request.");
         } else {
             refuseFull(
                     "The backend servers of service " + admitted.service() + " have reached their stated limits.",
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RelayedCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RelayedCall.java
@@ -4,7 +4,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
+import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.router.http.ExchangeFailedException;
@@ -27,22 +29,29 @@
     final GatewayContext context;
     final Worker worker;
     private final Relays relays;
+    private final Predicate<DataCentreId> allowed;
     private final HttpRequest request;
     private final Set<HostId> tried = new HashSet<>();
     private HttpCall call;
     private Relays.RelayHost relay;
     private boolean cancelled;
 
-    private RelayedCall(GatewayContext context, Relays relays, Worker worker, HttpRequest request) {
+    private RelayedCall(
+            GatewayContext context,
+            Relays relays,
+            Predicate<DataCentreId> allowed,
+            Worker worker,
+            HttpRequest request) {
         this.context = context;
         this.relays = relays;
+        this.allowed = allowed;
         this.worker = worker;
         this.request = request;
     }
 
     /** Sends the request to the next relaying host. */
     RelayedCall begin() {
-        Optional<Relays.RelayHost> next = tried.size() < MAX_RELAYS ? relays.next(tried) : Optional.empty();
+        Optional<Relays.RelayHost> next = tried.size() < MAX_RELAYS ? relays.next(tried, allowed) : Optional.empty();
         if (next.isEmpty()) {
             // A failure within this call would reach a caller that has not stored the call yet.
             context.loop().execute(() -> fail(RelayProtocol.Failure.UNAVAILABLE.exceptionFor(worker.address())));
@@ -125,11 +134,12 @@
         Whole(
                 GatewayContext context,
                 Relays relays,
+                Predicate<DataCentreId> allowed,
                 Worker worker,
                 HttpRequest request,
                 Consumer<HttpResponse> onAnswer,
                 Consumer<Throwable> onFailure) {
-            super(context, relays, worker, request);
+            super(context, relays, allowed, worker, request);
             this.onAnswer = onAnswer;
             this.onFailure = onFailure;
         }
@@ -163,10 +173,11 @@
         Streamed(
                 GatewayContext context,
                 Relays relays,
+                Predicate<DataCentreId> allowed,
                 Worker worker,
                 HttpRequest request,
                 BackendClient.Receiver receiver) {
-            super(context, relays, worker, request);
+            super(context, relays, allowed, worker, request);
             this.receiver = receiver;
         }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Relays.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Relays.java
@@ -2,7 +2,9 @@
 
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
+import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.sheet.SocketAddressText;
 
@@ -21,9 +23,10 @@
      * Picks a host.
      *
      * @param tried hosts that were tried for the same request
-     * @return a host that serves callers and reaches the servers, or empty if none is known
+     * @param allowed tells whether the request may pass through a data centre
+     * @return a host there that serves callers and reaches the servers, or empty if none is known
      */
-    Optional<RelayHost> next(Set<HostId> tried);
+    Optional<RelayHost> next(Set<HostId> tried, Predicate<DataCentreId> allowed);
 
     /**
      * Records that a host did not relay a request, so that others are picked for a while.
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
@@ -361,6 +361,7 @@
     private void start(AdmittedRequest admitted, RoutingTable table) {
         Optional<ServiceTerms.EngineTerms> engine =
                 table.service(admitted.service()).flatMap(ServiceTerms::engine);
+        BackendClient client = backendClient.within(admitted.homes());
         Call[] call = new Call[1];
         Runnable onEnd = () -> calls.remove(call[0]);
         call[0] = engine.isPresent()
@@ -370,13 +371,13 @@
                         permits,
                         workOf(admitted, engine.get()),
                         engine.get(),
-                        backendClient,
+                        client,
                         capacityQueueOf(admitted),
                         () -> drainRefusal(context.loop().nowMillis()),
                         origins,
                         processCheck,
                         onEnd)
-                : new PlainCall(context, admitted, permits, backendClient, returnQueueOf(admitted.service()), onEnd);
+                : new PlainCall(context, admitted, permits, client, returnQueueOf(admitted.service()), onEnd);
         calls.add(call[0]);
         call[0].begin();
     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/RelayHosts.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/RelayHosts.java
@@ -6,9 +6,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.guavathread.core.gossip.FleetView;
 import org.guavathread.core.gossip.HostReport;
+import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
 import org.guavathread.gateway.call.GatewayContext;
 import org.guavathread.gateway.call.Relays;
@@ -35,12 +37,13 @@
     }
 
     @Override
-    public Optional<RelayHost> next(Set<HostId> tried) {
+    public Optional<RelayHost> next(Set<HostId> tried, Predicate<DataCentreId> allowed) {
         long now = context.loop().nowMillis();
         avoidedUntilMillis.values().removeIf(until -> until <= now);
         List<HostReport> candidates = new ArrayList<>(fleet.reachableHosts(now));
         candidates.removeIf(r -> !r.phase().takesCallers()
                 || r.isCutOff()
+                || !allowed.test(r.dataCentre())
                 || tried.contains(r.host())
                 || avoidedUntilMillis.containsKey(r.host()));
         if (candidates.isEmpty()) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/settings/GatewaySettings.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/settings/GatewaySettings.java
@@ -9,6 +9,7 @@
 
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
+import org.guavathread.core.routing.RegionMap;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.router.settings.SettingException;
 import org.kohsuke.args4j.Option;
@@ -24,6 +25,12 @@
     @Option(name = "--data-centre", metaVar = "NAME", usage = "data centre of this host")
     private String dataCentre = "";
 
+    @Option(
+            name = "--regions",
+            metaVar = "DATA-CENTRE=REGION,...",
+            usage = "region of each data centre; empty if all lie in one region")
+    private String regions = "";
+
     @Option(name = "--listen-callers", metaVar = "IP:PORT", usage = "address for callers")
     private String listenCallers = "";
 
@@ -112,6 +119,7 @@
         List<String> faults = new ArrayList<>();
         note(faults, this::hostId);
         note(faults, this::dataCentre);
+        note(faults, this::regions);
         note(faults, this::listenCallers);
         note(faults, this::listenReady);
         note(faults, this::listenEntry);
@@ -173,6 +181,19 @@
         return new DataCentreId(required("--data-centre", dataCentre));
     }
 
+    /**
+     * Returns the regions of the data centres.
+     *
+     * @return the regions
+     */
+    public RegionMap regions() {
+        try {
+            return RegionMap.parse(regions);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException("--regions: " + e.getMessage(), e);
+        }
+    }
+
     /**
      * Returns the address for callers.
      *
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/warmup/WarmUp.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/warmup/WarmUp.java
@@ -6,8 +6,10 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import org.guavathread.core.dispatch.WaitingRank;
+import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
 import org.guavathread.core.id.Incarnation;
 import org.guavathread.core.publish.StorePosition;
@@ -257,7 +259,7 @@
     private static final class NoRelays implements Relays {
 
         @Override
-        public Optional<RelayHost> next(Set<HostId> tried) {
+        public Optional<RelayHost> next(Set<HostId> tried, Predicate<DataCentreId> allowed) {
             return Optional.empty();
         }
 
