--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -167,7 +167,10 @@
                 clock);
         this.fleet = new FleetView(settings.hostId(), startedAtMillis, settings.seeds(), random.split());
         this.entry = new EntryAnswers(
-                new EntrySelection.Candidate(settings.hostId(), settings.listenCallers(), settings.capacity()));
+                new EntryAnswers.Named(
+                        new EntrySelection.Candidate(settings.hostId(), settings.listenCallers(), settings.capacity()),
+                        settings.dataCentre()),
+                settings.regions());
         GossipSocket[] socket = new GossipSocket[1];
         socket[0] = new GossipSocket(settings.listenPeers(), this::messageReceived, context.metrics());
         GossipReporter.Identity identity = new GossipReporter.Identity(
@@ -417,7 +420,7 @@
         departureCheck.step();
         reach.step();
         reporter.cutOff(reach.isCutOff());
-        entry.update(fleet, reporter.phase(), reach.isCutOff(), clock.nowMillis());
+        entry.update(fleet, reporter.phase(), reach.isCutOff(), context.state().table(), clock.nowMillis());
     }
 
     /** Callers who can go nowhere else are better off with a host that is slow at first. */
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
@@ -215,25 +215,27 @@
      * @param packet the sender's report, and the reports and heartbeats that it forwards
      */
     public void receive(GossipPacket packet) {
-        receive(packet.own());
-        packet.others().forEach(this::receive);
         long now = context.loop().nowMillis();
+        if (fleet.apply(packet.own(), now)) {
+            applied(packet.own(), now);
+        }
+        for (HostReport other : packet.others()) {
+            if (fleet.applyForwarded(other, now)) {
+                applied(other, now);
+            }
+        }
         packet.heartbeats().forEach(sign -> fleet.apply(sign, packet.own().host(), now));
     }
 
-    private void receive(HostReport report) {
-        long now = context.loop().nowMillis();
-        if (!fleet.apply(report, now)) {
-            return;
-        }
+    private void applied(HostReport report, long nowMillis) {
         int process = HostHeartbeat.processOf(report.host(), report.incarnation());
         context.limits()
-                .applyTotals(process, report.sequence(), report.admitted(), now)
-                .forEach(spent -> context.shares().recordUsage(spent.workspace(), spent.units(), now));
-        context.crashSuspects().merge(report.crashed(), now);
-        context.serverLimits().merge(report.limits(), now);
-        if (now - summedAtMillis >= LOAD_SUM_INTERVAL_MILLIS) {
-            sumReports(now);
+                .applyTotals(process, report.sequence(), report.admitted(), nowMillis)
+                .forEach(spent -> context.shares().recordUsage(spent.workspace(), spent.units(), nowMillis));
+        context.crashSuspects().merge(report.crashed(), nowMillis);
+        context.serverLimits().merge(report.limits(), nowMillis);
+        if (nowMillis - summedAtMillis >= LOAD_SUM_INTERVAL_MILLIS) {
+            sumReports(nowMillis);
         }
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/settings/GatewaySettings.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/settings/GatewaySettings.java
@@ -11,6 +11,7 @@
 import org.guavathread.core.dispatch.ColdServers;
 import org.guavathread.core.id.DataCentreId;
 import org.guavathread.core.id.HostId;
+import org.guavathread.core.routing.RegionMap;
 import org.guavathread.core.sheet.SocketAddressText;
 import org.guavathread.router.settings.SettingException;
 import org.kohsuke.args4j.Option;
@@ -36,6 +37,12 @@
     @Option(name = "--core-share", metaVar = "N", usage = "part of that processor that this host may use")
     private double coreShare = 1;
 
+    @Option(
+            name = "--regions",
+            metaVar = "DATA-CENTRE=REGION,...",
+            usage = "region of each data centre; empty if all lie in one region")
+    private String regions = "";
+
     @Option(name = "--listen-callers", metaVar = "IP:PORT", usage = "address for callers")
     private String listenCallers = "";
 
@@ -136,6 +143,7 @@
         List<String> faults = new ArrayList<>();
         note(faults, this::hostId);
         note(faults, this::dataCentre);
+        note(faults, this::regions);
         note(faults, this::listenCallers);
         note(faults, this::listenReady);
         note(faults, this::listenEntry);
@@ -210,6 +218,19 @@
         return (int) Math.round(Math.min(MAX_CORES, cores * coreShare) * THOUSANDTHS);
     }
 
+    /**
+     * Returns the regions of the data centres.
+     *
+     * @return the regions
+     */
+    public RegionMap regions() {
+        try {
+            return RegionMap.parse(regions);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException("--regions: " + e.getMessage(), e);
+        }
+    }
+
     /**
      * Returns the address for callers.
      *
