--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/log/DecisionLog.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/log/DecisionLog.java
@@ -1,7 +1,8 @@
 package org.guavathread.gateway.log;
 
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -12,8 +13,8 @@
 import org.jctools.queues.MpscBlockingConsumerArrayQueue;
 import org.tinylog.Logger;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 
 /**
  * Writes one line of JSON for each decision. A dedicated thread writes the lines from a bounded queue. When the queue is
@@ -31,7 +32,11 @@
     private static final long POLL_MILLIS = 500;
     private static final long STOP_WAIT_MILLIS = 500;
 
-    private final ObjectMapper json = new ObjectMapper();
+    /** Lines that are written at once, in bytes, with one more line at most. */
+    private static final int MAX_BATCH_BYTES = 8 * 1024;
+
+    private final JsonFactory json = new JsonFactory();
+    private final ByteArrayOutputStream lines = new ByteArrayOutputStream();
     private final MpscBlockingConsumerArrayQueue<Map<String, Object>> queue =
             new MpscBlockingConsumerArrayQueue<>(QUEUE_CAPACITY_LINES);
     private final AtomicLong dropped = new AtomicLong();
@@ -152,17 +157,46 @@
         }
     }
 
-    private void print(Map<String, Object> fields) {
-        long droppedLines = dropped.getAndSet(0);
-        if (droppedLines > 0) {
-            fields.put("droppedLines", droppedLines);
+    /** Writes a line, and those that are queued behind it, in one system call. */
+    private void print(Map<String, Object> first) {
+        lines.reset();
+        for (Map<String, Object> fields = first; fields != null; ) {
+            long droppedLines = dropped.getAndSet(0);
+            if (droppedLines > 0) {
+                fields.put("droppedLines", droppedLines);
+            }
+            append(fields);
+            fields = lines.size() < MAX_BATCH_BYTES ? queue.poll() : null;
         }
-        try {
-            byte[] line = (json.writeValueAsString(fields) + "\n").getBytes(StandardCharsets.UTF_8);
-            out.write(line, 0, line.length);
-            out.flush();
-        } catch (JsonProcessingException e) {
+        out.write(lines.toByteArray(), 0, lines.size());
+        out.flush();
+    }
+
+    private void append(Map<String, Object> fields) {
+        try (JsonGenerator line = json.createGenerator(lines)) {
+            line.writeStartObject();
+            for (Map.Entry<String, Object> field : fields.entrySet()) {
+                line.writeFieldName(field.getKey());
+                writeValue(line, field.getValue());
+            }
+            line.writeEndObject();
+        } catch (IOException e) {
             Logger.error(e, "A log line cannot be written as JSON: {}.", fields);
         }
+        lines.write('\n');
+    }
+
+    private static void writeValue(JsonGenerator line, Object value) throws IOException {
+        if (value instanceof Integer || value instanceof Long) {
+            line.writeNumber(((Number) value).longValue());
+        } else if (value instanceof Double number) {
+            line.writeNumber(number);
+        } else if (value instanceof Boolean bool) {
+            line.writeBoolean(bool);
+        } else if (value instanceof Number) {
+            line.writeNumber(value.toString());
+        } else {
+            line.writeString((String) value);
+        }
     }
 }
