Encode most gossip datagrams once, and sum other hosts' loads when read

Each datagram was encoded with one report more than had fitted, then again. Loads were summed 33 times a second, whether a request was placed or not.

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerLoads.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerLoads.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 
 import org.guavathread.core.gossip.HostReport;
 import org.guavathread.core.id.BackendServerId;
@@ -23,6 +24,9 @@
     private final Map<BackendServerId, LocalLoad> local = new HashMap<>();
     private Map<BackendServerId, HostReport.ServerLoad> remote = Map.of();
 
+    /** Sums the loads of the other hosts when they are read next; null if they have not changed. */
+    private Supplier<Map<BackendServerId, HostReport.ServerLoad>> changedRemote;
+
     /** Accounts for a request on a server, from its dispatch until {@link #close()}. */
     public final class Ticket implements AutoCloseable {
 
@@ -84,6 +88,23 @@
      */
     public void replaceRemoteLoads(Map<BackendServerId, HostReport.ServerLoad> loads) {
         remote = Map.copyOf(loads);
+        changedRemote = null;
+    }
+
+    /**
+     * Replaces the load of the other hosts when it is read next, since most reports arrive between two placements.
+     *
+     * @param loads sums their loads for each server
+     */
+    public void remoteLoadsChanged(Supplier<Map<BackendServerId, HostReport.ServerLoad>> loads) {
+        changedRemote = loads;
+    }
+
+    private HostReport.ServerLoad remoteLoad(BackendServerId server) {
+        if (changedRemote != null) {
+            replaceRemoteLoads(changedRemote.get());
+        }
+        return remote.get(server);
     }
 
     /**
@@ -105,7 +126,7 @@
      */
     public int promptTokens(BackendServerId server) {
         LocalLoad localLoad = local.get(server);
-        HostReport.ServerLoad remoteLoad = remote.get(server);
+        HostReport.ServerLoad remoteLoad = remoteLoad(server);
         return (localLoad == null ? 0 : localLoad.promptTokens) + (remoteLoad == null ? 0 : remoteLoad.promptTokens());
     }
 
@@ -117,7 +138,7 @@
      */
     public int heldTokens(BackendServerId server) {
         LocalLoad localLoad = local.get(server);
-        HostReport.ServerLoad remoteLoad = remote.get(server);
+        HostReport.ServerLoad remoteLoad = remoteLoad(server);
         return (localLoad == null ? 0 : localLoad.heldTokens) + (remoteLoad == null ? 0 : remoteLoad.heldTokens());
     }
 
--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
@@ -122,6 +122,11 @@
     private final Map<Integer, Member> byProcess = new HashMap<>();
     private long nextSyncMillis;
 
+    /** The answer of {@link #reachableHosts} for a time; null once a host was heard or dropped since. */
+    private List<HostReport> reachable;
+
+    private long reachableAtMillis;
+
     /** Sender of a heartbeat of an unknown process, until {@link #nextSyncSource} considers it; null if none. */
     private HostId hostWithUnknownProcess;
 
@@ -151,6 +156,7 @@
         if (report.host().equals(self)) {
             return false;
         }
+        reachable = null;
         Member member = members.get(report.host());
         if (member != null && !report.isNewerThan(member.report()) && !replacesSilent(report, member, nowMillis)) {
             return false;
@@ -193,6 +199,7 @@
         if (heartbeat.sequence() <= member.sequence) {
             return;
         }
+        reachable = null;
         member.alive(heartbeat.sequence(), nowMillis);
         if (member.report().phase() != heartbeat.phase()) {
             member.report = member.report().withPhase(heartbeat.phase());
@@ -222,6 +229,7 @@
      * @param nowMillis the current time
      */
     public void expire(long nowMillis) {
+        reachable = null;
         members.values().removeIf(k -> nowMillis - k.lastSeenMillis() > RETENTION_MILLIS);
         // Ended processes are kept for the same time, so that their late heartbeats do not count as unknown.
         byProcess.values().removeIf(k -> nowMillis - k.lastSeenMillis() > RETENTION_MILLIS);
@@ -280,10 +288,18 @@
      * @return their latest reports
      */
     public List<HostReport> reachableHosts(long nowMillis) {
-        return members.values().stream()
-                .filter(k -> nowMillis - k.lastSeenMillis() <= reachTimeoutMillis())
-                .map(Member::report)
-                .toList();
+        if (reachable == null || reachableAtMillis != nowMillis) {
+            long timeoutMillis = reachTimeoutMillis();
+            List<HostReport> found = new ArrayList<>(members.size());
+            for (Member each : members.values()) {
+                if (nowMillis - each.lastSeenMillis() <= timeoutMillis) {
+                    found.add(each.report());
+                }
+            }
+            reachable = Collections.unmodifiableList(found);
+            reachableAtMillis = nowMillis;
+        }
+        return reachable;
     }
 
     private long reachTimeoutMillis() {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
@@ -35,9 +35,6 @@
     /** Minimum time between two summations of other hosts' load; the sum is cached for request placement. */
     private static final long LOAD_SUM_INTERVAL_MILLIS = 30;
 
-    /** Maximum number of other hosts' reports in one datagram. */
-    private static final int MAX_FORWARDED_REPORTS = 8;
-
     /** Maximum number of heartbeats in one datagram: at about 16 bytes each, half of a datagram. */
     private static final int MAX_HEARTBEATS = 48;
 
@@ -65,6 +62,7 @@
     private final GossipSocket socket;
     private final FleetRelay relay = new FleetRelay();
     private final UnreadableMessages unreadable;
+    private final ForwardableReports forwardable = new ForwardableReports(GossipSocket.MAX_DATAGRAM_BYTES);
     private HostPhase phase = HostPhase.STARTING;
     private long sequence;
     private int reachableHosts = -1;
@@ -73,7 +71,6 @@
     private long summedAtMillis;
     private boolean reportScheduled;
     private boolean cutOff;
-    private int forwardedReports = MAX_FORWARDED_REPORTS;
     private RequestRouter router;
 
     /**
@@ -236,7 +233,8 @@
 
     private void sumReports(long nowMillis) {
         summedAtMillis = nowMillis;
-        context.loads().replaceRemoteLoads(fleet.loadOfOthers(nowMillis));
+        context.loads()
+                .remoteLoadsChanged(() -> fleet.loadOfOthers(context.loop().nowMillis()));
         context.health().replaceUnreachableForOthers(fleet.unreachableForOthers(nowMillis), nowMillis);
     }
 
@@ -325,15 +323,15 @@
     private void sendPacket(List<SocketAddressText> receivers, long nowMillis) {
         HostReport own = ownReport(nowMillis);
         List<HostHeartbeat> heartbeats = fleet.heartbeatsToForward(MAX_HEARTBEATS, nowMillis);
-        // Reports of one moment are about equally long, so what fitted last time is a good first guess.
-        forwardedReports = Math.min(MAX_FORWARDED_REPORTS, forwardedReports + 1);
-        List<HostReport> others = fleet.reportsToForward(forwardedReports, nowMillis);
+        List<HostReport> others = fleet.reportsToForward(forwardable.next(), nowMillis);
         byte[] bytes = encode(own, others, heartbeats);
         while (bytes.length > GossipSocket.MAX_DATAGRAM_BYTES && !others.isEmpty()) {
+            int tooLong = bytes.length;
             others = others.subList(0, others.size() - 1);
             bytes = encode(own, others, heartbeats);
+            forwardable.tooMany(tooLong - bytes.length);
         }
-        forwardedReports = others.size();
+        forwardable.sent(others.size(), bytes.length);
         fleet.markForwarded(others);
         while (bytes.length > GossipSocket.MAX_DATAGRAM_BYTES && !heartbeats.isEmpty()) {
             heartbeats = heartbeats.subList(0, heartbeats.size() / 2);
