--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -158,6 +158,7 @@
                 ofWarmUp,
                 platform.sampleTraffic(),
                 settings.warmUpRequests(),
+                settings.warmUpAnswerMillis(),
                 settings.isFirstStart() ? FIRST_WARM_UP_MILLIS : WARM_UP_MILLIS,
                 context.log(),
                 clock);
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/settings/GatewaySettings.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/settings/GatewaySettings.java
@@ -96,6 +96,12 @@
             usage = "sample requests that this host handles by itself before it says that it is ready; 0 for none")
     private int warmUpRequests = 30;
 
+    @Option(
+            name = "--warm-up-answer-millis",
+            metaVar = "N",
+            usage = "the warm-up ends sooner if two sample requests in turn took less, in milliseconds; 0 for never")
+    private long warmUpAnswerMillis;
+
     @Option(name = "--log-level", metaVar = "LEVEL", usage = "trace, debug, info, warn or error")
     private String logLevel = "info";
 
@@ -135,6 +141,9 @@
         if (warmUpRequests < 0) {
             faults.add("--warm-up-requests is " + warmUpRequests + "; it cannot be negative.");
         }
+        if (warmUpAnswerMillis < 0) {
+            faults.add("--warm-up-answer-millis is " + warmUpAnswerMillis + "; it cannot be negative.");
+        }
         if (prefillShare > 1) {
             faults.add("--prefill-share is " + prefillShare + "; it must be at most 1.");
         }
@@ -226,6 +235,15 @@
         return warmUpRequests;
     }
 
+    /**
+     * Returns the time within which a warm host answers a sample request.
+     *
+     * @return milliseconds; 0 if the warm-up ends after its number of requests only
+     */
+    public long warmUpAnswerMillis() {
+        return warmUpAnswerMillis;
+    }
+
     /**
      * Returns the address for metrics.
      *
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/warmup/WarmUp.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/warmup/WarmUp.java
@@ -45,10 +45,14 @@
 
     private static final long STOP_WAIT_MILLIS = 500;
 
+    /** Sample requests come in turns, a plain and a streamed one; the first of each loads the code. */
+    private static final int REQUESTS_IN_TURN = 2;
+
     private final HostId host;
     private final GatewayContext context;
     private final SampleTraffic traffic;
     private final int requests;
+    private final long warmMillis;
     private final long maxMillis;
     private final DecisionLog log;
     private final Clock clock;
@@ -64,6 +68,8 @@
      * @param context components that are not those of callers' requests, except the event loop and the client
      * @param traffic the requests and their answers
      * @param requests number of requests after which the host is warm
+     * @param warmMillis the host is warm before that if two sample requests in turn, after the first two, took no longer, in
+     *     milliseconds; the less processor time it gets, the longer they take
      * @param maxMillis maximum duration, so that a host which gets little processor time becomes ready all the same
      * @param log receives the outcome
      * @param clock source of the time
@@ -73,6 +79,7 @@
             GatewayContext context,
             SampleTraffic traffic,
             int requests,
+            long warmMillis,
             long maxMillis,
             DecisionLog log,
             Clock clock) {
@@ -80,6 +87,7 @@
         this.context = context;
         this.traffic = traffic;
         this.requests = requests;
+        this.warmMillis = warmMillis;
         this.maxMillis = maxMillis;
         this.log = log;
         this.clock = clock;
@@ -176,15 +184,23 @@
         long untilMillis = startedAtMillis + maxMillis;
         int served = 0;
         int failed = 0;
+        int fast = 0;
         int fromCallersBefore = 0;
-        while (!stopped && served + fromCallers.get() < requests && clock.nowMillis() < untilMillis) {
+        while (!stopped
+                && fast < REQUESTS_IN_TURN
+                && served + fromCallers.get() < requests
+                && clock.nowMillis() < untilMillis) {
+            long sentAtMillis = clock.nowMillis();
             if (fromCallers.get() > fromCallersBefore) {
                 fromCallersBefore = fromCallers.get();
                 LockSupport.parkNanos(PAUSE_NANOS);
             } else if (isServed(callers, served + failed)) {
                 served++;
+                boolean isFast = served > REQUESTS_IN_TURN && clock.nowMillis() - sentAtMillis < warmMillis;
+                fast = isFast ? fast + 1 : 0;
             } else {
                 failed++;
+                fast = 0;
                 LockSupport.parkNanos(PAUSE_NANOS);
             }
         }
@@ -193,7 +209,9 @@
                 .with("failed", failed)
                 .with("fromCallers", fromCallers.get())
                 .with("millis", clock.nowMillis() - startedAtMillis)
-                .with("outcome", served + fromCallers.get() >= requests ? "complete" : "incomplete")
+                .with(
+                        "outcome",
+                        fast >= REQUESTS_IN_TURN || served + fromCallers.get() >= requests ? "complete" : "incomplete")
                 .write();
     }
 
