Send no request whose caller has left or whose time is up while the host was busy

Its event loop was behind: the answer of a reservation stood in the inbox before the news that the caller had left and before the timer of the deadline. Change: before a prefill, a run and a plain send, Call asks the exchange itself and the clock (endedBeforeSending).

--- a/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
@@ -241,9 +241,7 @@
         assertEquals(2, fleet.view(1).hostsForCallers(false, now).size());
         fleet.kill(2);
         now = run(fleet, now, FleetView.REACH_TIMEOUT_MILLIS + 300);
-        assertEquals(
-                List.of(address(3)),
-                addresses(fleet.view(1), false, now));
+        assertEquals(List.of(address(3)), addresses(fleet.view(1), false, now));
         assertTrue(fleet.view(1).reachableShare(now) < 1, "the stopped host may still be spending its budget");
     }
 
@@ -283,8 +281,7 @@
             now = run(fleet, now, 500);
         }
         fleet.views.forEach((address, view) -> assertTrue(
-                addresses(view, false, endedAtMillis + MAX_NAMED_MILLIS + 5_000)
-                                .size()
+                addresses(view, false, endedAtMillis + MAX_NAMED_MILLIS + 5_000).size()
                         > 0.9 * (hosts - ended.size() - 1),
                 address + " names few of the running hosts"));
     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/EntryAnswers.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/EntryAnswers.java
@@ -59,8 +59,7 @@
                 .toList();
         return EntrySelection.select(
                 own.candidate().host(),
-                (near.isEmpty() ? serving : near)
-                        .stream().map(Named::candidate).toList());
+                (near.isEmpty() ? serving : near).stream().map(Named::candidate).toList());
     }
 
     /**
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
@@ -307,8 +307,21 @@
         return context.crashSuspects().blamedOf(admitted.crashTraits()).isPresent();
     }
 
+    /**
+     * Ends a call without an answer that is not to be sent any more: its caller has left or its time is up, though the event
+     * loop may have been too busy to come to that, or it has become a crash suspect since it was admitted.
+     */
+    boolean endedBeforeSending() {
+        if (exchange().isFinished()) {
+            callerGone();
+        } else if (remainingMillis() < ANSWER_MARGIN_MILLIS && !ended) {
+            deadlinePassed();
+        }
+        return ended || refusedAsCrashSuspect();
+    }
+
     /** Refuses the request if it has become a suspect since it was admitted. */
-    boolean refusedAsCrashSuspect() {
+    private boolean refusedAsCrashSuspect() {
         Optional<CrashTrait> blamed = context.crashSuspects().blamedOf(admitted.crashTraits());
         if (blamed.isEmpty() || admitted.isCrashTest() && !hasRun()) {
             return false;
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
@@ -55,7 +55,7 @@
 
     /** Sends the request to the best server, or decides that there is none. */
     void send() {
-        if (refusedAsCrashSuspect()) {
+        if (endedBeforeSending()) {
             return;
         }
         if (!backendClient.isReachable(admitted.service())) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PrefillRun.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PrefillRun.java
@@ -32,6 +32,9 @@
     }
 
     void begin() {
+        if (call.endedBeforeSending()) {
+            return;
+        }
         long untilMillis = Math.min(
                 call.admitted.deadlineMillis(),
                 call.now() + TIMEOUT_SLACK_MILLIS + (long) (TIMEOUT_FACTOR * plan.expectedMillis()));
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -195,7 +195,7 @@
     }
 
     void place() {
-        if (out == null && refusedAsCrashSuspect()) {
+        if (out == null && endedBeforeSending()) {
             return;
         }
         if (!origin.isSettled()) {
@@ -457,7 +457,7 @@
     }
 
     private void run(Worker worker, double expectedMillis) {
-        if (out == null && refusedAsCrashSuspect()) {
+        if (out == null && endedBeforeSending()) {
             return;
         }
         tried.add(worker.id());
