--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/FairAdmissionQueue.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/FairAdmissionQueue.java
@@ -196,10 +196,7 @@
      * @return the request, or empty if none is queued or another host has a new one of a better rank
      */
     public Optional<T> first(Lane lane, Function<Optional<Priority>, WaitingRank> elsewhere, long nowMillis) {
-        Set<Priority> waiting = queued.values().stream()
-                .filter(attributes -> attributes.lane() == lane)
-                .map(attributes -> attributes.standing().level())
-                .collect(Collectors.toSet());
+        Set<Priority> waiting = waitingLevels(lane);
         Optional<Priority> owed = waiting.size() > 1 ? guaranteed.owed(waiting, nowMillis) : Optional.empty();
         return dearest(lane, each -> owed.isEmpty() || each.level().equals(owed.get()), elsewhere, nowMillis);
     }
@@ -223,23 +220,31 @@
             Predicate<CostOrder.Standing> among,
             Function<Optional<Priority>, WaitingRank> elsewhere,
             long nowMillis) {
-        return inOrder(lane, nowMillis)
-                .filter(e -> among.test(e.getValue().standing()))
-                .findFirst()
-                .filter(e -> lane == Lane.CONTINUATION
-                        || !costOf(e.getValue(), nowMillis)
+        return costed(lane, nowMillis)
+                .filter(each -> among.test(each.standing()))
+                .min(Comparator.naturalOrder())
+                .filter(each -> lane == Lane.CONTINUATION
+                        || !each.cost()
                                 .need()
                                 .rank()
-                                .ranksBelow(
-                                        elsewhere.apply(e.getValue().standing().priority())))
-                .map(Map.Entry::getKey);
+                                .ranksBelow(elsewhere.apply(each.standing().priority())))
+                .map(Costed::request);
+    }
+
+    /** A queued request with its present cost. */
+    private record Costed<T>(T request, CostOrder.Standing standing, CallerCost cost) implements Comparable<Costed<T>> {
+
+        @Override
+        public int compareTo(Costed<T> other) {
+            int byCost = cost.compareTo(other.cost);
+            return byCost != 0 ? byCost : Long.compare(standing.arrivedAtMillis(), other.standing.arrivedAtMillis());
+        }
     }
 
-    private Stream<Map.Entry<T, Attributes>> inOrder(Lane lane, long nowMillis) {
-        Comparator<Map.Entry<T, Attributes>> byCost = Comparator.comparing(e -> costOf(e.getValue(), nowMillis));
+    private Stream<Costed<T>> costed(Lane lane, long nowMillis) {
         return queued.entrySet().stream()
                 .filter(e -> e.getValue().lane() == lane)
-                .sorted(byCost.thenComparingLong(e -> e.getValue().standing().arrivedAtMillis()));
+                .map(e -> new Costed<>(e.getKey(), e.getValue().standing(), costOf(e.getValue(), nowMillis)));
     }
 
     /**
@@ -263,23 +268,35 @@
      */
     public List<Hopeless<T>> overtaken(long nowMillis) {
         List<Hopeless<T>> hopeless = new ArrayList<>();
-        Optional<Map.Entry<T, Attributes>> ahead = Optional.empty();
+        if (waitingLevels(Lane.NEW).size() < 2) {
+            return hopeless;
+        }
+        Optional<Costed<T>> ahead = Optional.empty();
         int position = 0;
-        for (Map.Entry<T, Attributes> e : inOrder(Lane.NEW, nowMillis).toList()) {
-            CostOrder.Standing standing = e.getValue().standing();
+        for (Costed<T> each : costed(Lane.NEW, nowMillis).sorted().toList()) {
             double turnMillis = nowMillis + TURN_ESTIMATE_SHARE * position * intervalMillis;
             boolean isOvertaken = ahead.isPresent()
-                    && ahead.get().getValue().standing().level().isMoreUrgentThan(standing.level());
-            if (isOvertaken && turnMillis >= standing.expiresAtMillis()) {
-                hopeless.add(new Hopeless<>(e.getKey(), ahead.map(Map.Entry::getKey), costOf(e.getValue(), nowMillis)));
+                    && ahead.get()
+                            .standing()
+                            .level()
+                            .isMoreUrgentThan(each.standing().level());
+            if (isOvertaken && turnMillis >= each.standing().expiresAtMillis()) {
+                hopeless.add(new Hopeless<>(each.request(), ahead.map(Costed::request), each.cost()));
             } else {
                 position++;
-                ahead = ahead.or(() -> Optional.of(e));
+                ahead = ahead.or(() -> Optional.of(each));
             }
         }
         return hopeless;
     }
 
+    private Set<Priority> waitingLevels(Lane lane) {
+        return queued.values().stream()
+                .filter(attributes -> attributes.lane() == lane)
+                .map(attributes -> attributes.standing().level())
+                .collect(Collectors.toSet());
+    }
+
     private CallerCost costOf(Attributes attributes, long nowMillis) {
         return attributes.lane() == Lane.CONTINUATION
                 ? new CallerCost(attributes.standing().level(), CallerCost.Need.ON_TIME)
