--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/KeptRoom.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/KeptRoom.java
@@ -13,20 +13,17 @@
 
 /**
  * Keeps some engines free for urgent requests, so that a burst of less urgent ones cannot fill all of them before the next
- * urgent one arrives, and many small requests leave memory in one piece for large ones. Less urgent requests do not use these
+ * urgent one arrives. Less urgent requests do not use these
  * engines at all: hosts know the load of an engine some hundred milliseconds late, so together they would exceed any part of
  * it that they may fill. Hosts choose the same engines by rendezvous hashing; the number of engines follows the recent demand
- * of the more urgent requests, and few are kept if an urgent request displaces many others. A host that hears nothing keeps engines for its own urgent requests only. Not thread-safe.
+ * of the more urgent requests, and none is kept if an urgent request displaces many others. A host that hears nothing keeps engines for its own urgent requests only. Not thread-safe.
  */
 public final class KeptRoom {
 
     /** Part of the engines that is kept at most, so that less urgent requests are served as well. */
     private static final double MAX_KEPT_SHARE = 0.5;
 
-    /** The same where one urgent request takes the room of many less urgent ones, whose callers would pay for it. */
-    private static final double MAX_KEPT_SHARE_FOR_LARGE = 0.1;
-
-    /** Less urgent requests that one urgent request may displace before it counts as large. */
+    /** Less urgent requests that one urgent request may displace; the callers of more of them would pay for it. */
     private static final double MAX_DISPLACED = 3;
 
     /**
@@ -66,11 +63,9 @@
         double requestsOfAnEngine =
                 Math.max(1, Math.floor(PLANNED_UTILISATION * memoryTokens / Math.max(1, urgent.tokens())));
         int wanted = (int) Math.ceil(MARGIN * urgent.requests() / requestsOfAnEngine);
-        boolean isLarge =
-                urgent.tokens() > MAX_DISPLACED * demand.of(service, priority).tokens();
-        double maxShare = isLarge ? MAX_KEPT_SHARE_FOR_LARGE : MAX_KEPT_SHARE;
-        int count = Math.min((int) (maxShare * engines.size()), wanted);
-        if (count == 0) {
+        int count = Math.min((int) (MAX_KEPT_SHARE * engines.size()), wanted);
+        double tokens = demand.of(service, priority).tokens();
+        if (count == 0 || urgent.tokens() > MAX_DISPLACED * tokens) {
             latest.remove(service);
             return RoomLimit.NONE_KEPT;
         }
--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/PriorityDemand.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/PriorityDemand.java
@@ -36,11 +36,25 @@
         }
     }
 
+    /** Running requests, and the tokens that they hold together. */
+    private record Average(double running, double heldTokens) {
+
+        private static final Average NONE = new Average(0, 0);
+
+        private Average plus(Average other) {
+            return new Average(running + other.running, heldTokens + other.heldTokens);
+        }
+
+        private Demand with(int waiting) {
+            return new Demand(running + waiting, running > 0 ? heldTokens / running : 0);
+        }
+    }
+
     private record Level(ServiceName service, Priority priority) {}
 
     private Map<Level, PriorityLoad> elsewhere = Map.of();
     private final Map<Level, Integer> waiting = new HashMap<>();
-    private final Map<Level, Demand> averages = new HashMap<>();
+    private final Map<Level, Average> averages = new HashMap<>();
     private long updatedAtMillis;
 
     /**
@@ -58,10 +72,10 @@
         all.forEach((level, load) -> waiting.put(level, load.onTime() + load.aboveShare()));
         double factor = Math.pow(0.5, Math.max(0, nowMillis - updatedAtMillis) / HALF_LIFE_MILLIS);
         updatedAtMillis = nowMillis;
-        averages.replaceAll((level, average) -> new Demand(average.requests() * factor, average.tokens()));
-        all.forEach((level, load) -> averages.merge(level, demandOf(load, 1 - factor), PriorityDemand::combined));
+        averages.replaceAll((level, average) -> new Average(average.running() * factor, average.heldTokens() * factor));
+        all.forEach((level, load) -> averages.merge(level, averageOf(load, 1 - factor), Average::plus));
         averages.entrySet()
-                .removeIf(e -> e.getValue().requests() < MIN_REQUESTS && waiting.getOrDefault(e.getKey(), 0) == 0);
+                .removeIf(e -> e.getValue().running() < MIN_REQUESTS && waiting.getOrDefault(e.getKey(), 0) == 0);
     }
 
     private static Map<Level, PriorityLoad> sums(List<PriorityLoad> loads) {
@@ -70,15 +84,8 @@
         return sums;
     }
 
-    /** A large request that waits needs its whole size, while those that run need their mean. */
-    private static Demand demandOf(PriorityLoad load, double weight) {
-        double mean = load.running() == 0 ? 0 : load.heldTokens() / (double) load.running();
-        return new Demand(weight * load.running(), Math.max(mean, load.largestWaitingTokens()));
-    }
-
-    private static Demand combined(Demand decayed, Demand current) {
-        double tokens = current.tokens() > 0 ? current.tokens() : decayed.tokens();
-        return new Demand(decayed.requests() + current.requests(), tokens);
+    private static Average averageOf(PriorityLoad load, double weight) {
+        return new Average(weight * load.running(), weight * load.heldTokens());
     }
 
     /**
@@ -92,7 +99,7 @@
         return averages.entrySet().stream()
                 .filter(e -> e.getKey().service().equals(service))
                 .filter(e -> e.getKey().priority().isMoreUrgentThan(priority))
-                .map(e -> e.getValue().plus(new Demand(waiting.getOrDefault(e.getKey(), 0), 0)))
+                .map(e -> e.getValue().with(waiting.getOrDefault(e.getKey(), 0)))
                 .reduce(Demand.NONE, Demand::plus);
     }
 
@@ -104,7 +111,8 @@
      * @return their number and size
      */
     public Demand of(ServiceName service, Priority priority) {
-        return averages.getOrDefault(new Level(service, priority), Demand.NONE);
+        Level level = new Level(service, priority);
+        return averages.getOrDefault(level, Average.NONE).with(waiting.getOrDefault(level, 0));
     }
 
     /**
--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/HostReport.java
@@ -125,20 +125,12 @@
      * @param priority the priority
      * @param running number of those that occupy memory of an engine
      * @param heldTokens tokens that they occupy
-     * @param largestWaitingTokens tokens that the largest waiting one will occupy
      * @param onTime number of those that wait, can be on time and belong to workspaces within their fair share
      * @param aboveShare number of the others that wait and can be on time
      * @param late number of those that wait and are late
      */
     public record PriorityLoad(
-            ServiceName service,
-            Priority priority,
-            int running,
-            int heldTokens,
-            int largestWaitingTokens,
-            int onTime,
-            int aboveShare,
-            int late) {
+            ServiceName service, Priority priority, int running, int heldTokens, int onTime, int aboveShare, int late) {
 
         /**
          * Adds the load of another host, of the same service and priority.
@@ -152,7 +144,6 @@
                     priority,
                     running + other.running,
                     heldTokens + other.heldTokens,
-                    Math.max(largestWaitingTokens, other.largestWaitingTokens),
                     onTime + other.onTime,
                     aboveShare + other.aboveShare,
                     late + other.late);
@@ -164,7 +155,7 @@
          * @return the load without those that wait
          */
         public PriorityLoad withoutWaiting() {
-            return new PriorityLoad(service, priority, running, heldTokens, 0, 0, 0, 0);
+            return new PriorityLoad(service, priority, running, heldTokens, 0, 0, 0);
         }
 
         /**
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/CapacityQueue.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/CapacityQueue.java
@@ -104,23 +104,21 @@
                 .forEach(standing -> standing.priority()
                         .ifPresent(priority -> loads.merge(
                                 priority,
-                                new PriorityLoad(service, priority, 1, standing.workTokens(), 0, 0, 0, 0),
+                                new PriorityLoad(service, priority, 1, standing.workTokens(), 0, 0, 0),
                                 PriorityLoad::plus)));
         queue.costs(loop.nowMillis())
                 .forEach((standing, cost) -> standing.priority()
-                        .ifPresent(priority ->
-                                loads.merge(priority, loadOf(standing, priority, cost), PriorityLoad::plus)));
+                        .ifPresent(priority -> loads.merge(priority, loadOf(priority, cost), PriorityLoad::plus)));
         return List.copyOf(loads.values());
     }
 
-    private PriorityLoad loadOf(CostOrder.Standing standing, Priority priority, CallerCost cost) {
+    private PriorityLoad loadOf(Priority priority, CallerCost cost) {
         boolean isLate = cost.need().rank() == WaitingRank.LATE;
         return new PriorityLoad(
                 service,
                 priority,
                 0,
                 0,
-                isLate ? 0 : standing.workTokens(),
                 cost.need() == CallerCost.Need.ON_TIME ? 1 : 0,
                 cost.need() == CallerCost.Need.ON_TIME_ABOVE_SHARE ? 1 : 0,
                 isLate ? 1 : 0);
