--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/KeptRoom.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/KeptRoom.java
@@ -60,6 +60,9 @@
      */
     public RoomLimit limitFor(ServiceName service, Priority priority, List<Worker> engines, int memoryTokens) {
         PriorityDemand.Demand urgent = demand.moreUrgentThan(service, priority);
+        if (urgent.requests() == 0) {
+            return RoomLimit.NONE_KEPT;
+        }
         double requestsOfAnEngine =
                 Math.max(1, Math.floor(PLANNED_UTILISATION * memoryTokens / Math.max(1, urgent.tokens())));
         int wanted = (int) Math.ceil(MARGIN * urgent.requests() / requestsOfAnEngine);
