Tell cut answers from whole ones in one place

If the writer of an upload meets it first, the reader gets an orderly end, and the close reaches the exchange before the failed write: an answer without a length was taken for whole.

Change: AnswerCompletion decides how an answer ended (AnswerEnd) from what reader and writer report in any order; an answer that only the close delimits is whole only after an orderly end and the whole request. Status lines without three digits from 200 to 599 are no answer. What is left of a request is not written once its answer is there or its exchange has ended.

--- a/guavathread-router/src/main/java/org/guavathread/router/http/CloseDetectingTransportFilter.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/CloseDetectingTransportFilter.java
@@ -43,6 +43,14 @@
             return ctx.getStopAction();
         }
         bytes.flip();
+        if (pooled != null && !pooled.acceptsAnswer(bytes)) {
+            HttpExchange exchange = pooled.exchange();
+            if (exchange != null) {
+                exchange.fail("the answer has no status of HTTP", null);
+            }
+            ctx.getConnection().closeSilently();
+            return ctx.getStopAction();
+        }
         ctx.setMessage(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes));
         return ctx.getInvokeAction();
     }
--- a/guavathread-router/src/main/java/org/guavathread/router/http/ConnectionPool.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/ConnectionPool.java
@@ -127,7 +127,8 @@
             }
             idle.remove(connection);
         }
-        connection.connection().closeSilently();
+        // A close would write first what is left of a request.
+        connection.connection().terminateSilently();
         timers.execute(this::serveNext);
     }
 
--- a/guavathread-router/src/main/java/org/guavathread/router/http/HttpExchange.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/HttpExchange.java
@@ -52,8 +52,8 @@
     private PooledConnection connection;
     private boolean newConnectionOnly;
     private boolean ended;
+    private AnswerCompletion completion = new AnswerCompletion();
     private boolean headReceived;
-    private boolean closeDelimited;
     private boolean closed;
     private boolean awaitingWriteCompletion;
     private Throwable closeCause;
@@ -175,7 +175,7 @@
     }
 
     private void onWritten(PooledConnection open) {
-        boolean wasClosed;
+        AnswerEnd end;
         boolean complete;
         synchronized (this) {
             complete = stopAwaitingWrite(open);
@@ -184,25 +184,30 @@
             }
             writeState = WriteState.WRITTEN;
             step = headReceived ? HttpStep.ANSWER_BODY : HttpStep.ANSWER_HEAD;
-            wasClosed = closed;
+            end = completion.requestWritten(open.wasWrittenBeforeClose());
         }
         if (complete) {
             pool.release(open);
-        } else if (wasClosed) {
-            fail("the connection was closed", closeCauseOrEof(closeCause));
+        } else if (end.isWhole()) {
+            complete(open, null);
+        } else if (end.isEnd()) {
+            failAtClose(end, closeCause);
         }
     }
 
     private void onWriteFailed(PooledConnection open, Throwable cause) {
         boolean retry;
         boolean complete;
+        boolean hasBegun;
         synchronized (this) {
             complete = stopAwaitingWrite(open);
             if (!complete && (ended || connection != open)) {
                 return;
             }
-            if (complete || open.writtenBytes() > 0) {
+            hasBegun = open.writtenBytes() > 0 || headReceived;
+            if (complete || hasBegun) {
                 writeState = WriteState.WRITTEN;
+                completion.requestFailed();
                 retry = false;
             } else {
                 writeState = WriteState.NOT_STARTED;
@@ -210,13 +215,14 @@
                 newConnectionOnly = true;
                 connection = null;
                 closed = false;
+                completion = new AnswerCompletion();
             }
         }
         if (complete) {
             pool.discard(open);
             return;
         }
-        if (open.writtenBytes() > 0) {
+        if (hasBegun) {
             fail("the connection broke while the request was written", cause);
             return;
         }
@@ -230,36 +236,32 @@
     }
 
     /**
-     * Handles the close of the connection. While a write is pending the exchange stays open, because only the
-     * completion of the write tells whether the operating system accepted a byte.
+     * Handles the close of the connection. While a write is pending the exchange may stay open, because only the
+     * completion of the write tells whether the operating system accepted the request.
      */
     void onClosed(PooledConnection open, Throwable cause) {
+        AnswerEnd end;
         synchronized (this) {
             if (ended || connection != open) {
                 return;
             }
             closed = true;
             closeCause = cause;
-            if (writeState == WriteState.WRITING && !headReceived) {
-                return;
-            }
+            boolean isOrderly = cause == null && open.wasClosedOrderly();
+            end = isOrderly ? completion.inputEnded() : completion.connectionLost();
         }
-        if (isCompleteAtClose(open, cause)) {
+        if (end.isWhole()) {
             complete(open, null);
-            return;
+        } else if (end.isEnd()) {
+            failAtClose(end, cause);
         }
-        fail(
-                cause == null ? "the connection was closed" : "the response cannot be read: " + cause,
-                closeCauseOrEof(cause));
     }
 
-    private synchronized boolean isCloseDelimited() {
-        return closeDelimited;
-    }
-
-    /** Tells whether an orderly close completes a body of unknown length; a reset does not. */
-    private synchronized boolean isCompleteAtClose(PooledConnection open, Throwable cause) {
-        return closeDelimited && cause == null && open.wasClosedOrderly();
+    private void failAtClose(AnswerEnd end, Throwable cause) {
+        String reason = cause == null
+                ? "the connection was closed" + (end == AnswerEnd.CLOSED_BEFORE_REQUEST ? " before the request" : "")
+                : "the response cannot be read: " + cause;
+        fail(reason, closeCauseOrEof(cause));
     }
 
     /** Returns a cause that marks a close by the peer, as opposed to a deadline, inactivity or a cancellation. */
@@ -292,13 +294,15 @@
             return;
         }
         deliver(head, bytes);
-        // The codec also reports the end of a close-delimited body when the connection is reset; onClosed tells the two
-        // apart.
-        if (last && !isCloseDelimited()) {
+        if (last && lastPart().isWhole()) {
             complete(open, response);
         }
     }
 
+    private synchronized AnswerEnd lastPart() {
+        return completion.lastPart();
+    }
+
     private void deliver(HttpHead head, byte[] bytes) {
         listenerCalls.execute(() -> {
             if (head != null) {
@@ -317,8 +321,8 @@
         if (response.getContentLength() > request.maxResponseBytes()) {
             return "the response is longer than " + request.maxResponseBytes() + " bytes";
         }
-        closeDelimited = response.isExpectContent() && !response.isChunked() && response.getContentLength() < 0;
-        if (closeDelimited && !request.acceptsCloseDelimitedResponse()) {
+        completion.head(response.isExpectContent() && !response.isChunked() && response.getContentLength() < 0);
+        if (completion.isCloseDelimited() && !request.acceptsCloseDelimitedResponse()) {
             // A body that ends with the connection cannot be told from a truncated one.
             return "the response has neither a length nor chunks, so its end cannot be detected";
         }
@@ -342,7 +346,9 @@
             if (ended) {
                 return;
             }
-            reusable = !closed && !closeDelimited && isKeepAlive(response);
+            // A peer that answers before it has the request gets no more of it.
+            boolean isCut = writeState == WriteState.WRITING && open.writtenBytes() < request.body().length;
+            reusable = !closed && !isCut && !completion.isCloseDelimited() && isKeepAlive(response);
             awaitsWrite = reusable && writeState == WriteState.WRITING;
             awaitingWriteCompletion = awaitsWrite;
             end();
--- a/guavathread-router/src/main/java/org/guavathread/router/http/PooledConnection.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/PooledConnection.java
@@ -26,6 +26,9 @@
     private volatile long idleSinceMillis;
     private volatile boolean used;
     private volatile boolean closedOrderly;
+    private volatile int writes;
+    private volatile long writtenBytesAtEnd;
+    private volatile StatusLineCheck statusLine = new StatusLineCheck();
 
     PooledConnection(ConnectionPool pool, Connection<?> connection) {
         this.pool = pool;
@@ -52,6 +55,8 @@
 
     void bind(HttpExchange next) {
         writtenBytes = 0;
+        writes = 0;
+        statusLine = new StatusLineCheck();
         exchange = next;
     }
 
@@ -96,6 +101,7 @@
 
     /** Records that the peer closed the connection without a reset. */
     void markClosedOrderly() {
+        writtenBytesAtEnd = writtenBytes;
         closedOrderly = true;
     }
 
@@ -104,6 +110,19 @@
         return closedOrderly;
     }
 
+    /**
+     * Tells whether all that has been written was written before the peer's orderly close was seen. What left in a single
+     * write was: its count may be reported late, but the peer answered it.
+     */
+    boolean wasWrittenBeforeClose() {
+        return writes <= 1 || writtenBytesAtEnd == writtenBytes;
+    }
+
+    /** Checks the first bytes of an answer. */
+    boolean acceptsAnswer(ByteBuffer bytes) {
+        return exchange == null || statusLine.accepts(bytes);
+    }
+
     /** Marks the connection as removed from the pool; returns false if it already was. */
     boolean markRemoved() {
         return removed.compareAndSet(false, true);
@@ -121,6 +140,7 @@
         public void onWriteEvent(Connection source, Buffer buffer, long size) {
             if (size > 0) {
                 writtenBytes += size;
+                writes++;
             }
         }
     }
--- a/guavathread-router/src/test/java/org/guavathread/router/http/HttpClientTest.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/http/HttpClientTest.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -14,6 +15,8 @@
 import org.guavathread.core.sheet.SocketAddressText;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
@@ -319,6 +322,64 @@
         assertInstanceOf(ExchangeFailedException.class, failureOf(client.send(resetting.address(), request)));
     }
 
+    @Test
+    void earlyCloseDelimitedAnswerThatIsResetIsNeverWhole() throws Exception {
+        ScriptedPeer resetting = peer((head, out, socket) -> {
+            ScriptedPeer.text(out, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n0123456789abcdef");
+            sleep(ThreadLocalRandom.current().nextInt(60));
+            socket.setSoLinger(true, 0);
+            return false;
+        });
+        ScriptedPeer closing = peer((head, out, socket) ->
+                ScriptedPeer.text(out, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n0123456789abcdef") && false);
+        HttpClient client = client(HttpClientSettings.DEFAULTS);
+        for (int i = 0; i < 60; i++) {
+            for (ScriptedPeer peer : List.of(resetting, closing)) {
+                HttpRequest request = HttpRequest.post("/")
+                        .body(new byte[3_000_000])
+                        .acceptCloseDelimitedResponse()
+                        .build();
+                assertInstanceOf(ExchangeFailedException.class, failureOf(client.send(peer.address(), request)));
+            }
+        }
+    }
+
+    @Test
+    void earlyDelimitedAnswerIsWholeAndTheRestOfTheRequestIsNotSent() throws Exception {
+        AtomicLong read = new AtomicLong();
+        ScriptedPeer refusing = peer((head, out, socket) -> {
+            ScriptedPeer.text(out, "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy");
+            sleep(200);
+            for (int n = 0; n >= 0; n = socket.getInputStream().read(new byte[65_536])) {
+                read.addAndGet(n);
+            }
+            return false;
+        });
+        HttpClient client = client(HttpClientSettings.DEFAULTS);
+        HttpRequest request = HttpRequest.post("/").body(new byte[30_000_000]).build();
+        HttpResponse response = client.send(refusing.address(), request).get(20, TimeUnit.SECONDS);
+        assertEquals(503, response.status());
+        assertEquals("busy", response.text());
+        Polling.until("the client closed the connection", () -> refusing.endedConnections() == 1);
+        assertTrue(read.get() < 30_000_000, read + " bytes were sent");
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "000", "099", "1000", "0200", "20", "2", "20x", "abc", "+200", "-200", "+20", "2 00", "", "600", "999",
+                "100"
+            })
+    void statusLineWithoutAStatusIsNoAnswer(String status) throws Exception {
+        for (String end : List.of(" OK\r\n", "\r\n")) {
+            ScriptedPeer peer = peer((head, out, socket) -> ScriptedPeer.text(
+                            out, "HTTP/1.1 " + status + end + "Content-Length: 2\r\nConnection: close\r\n\r\nok")
+                    && false);
+            HttpClient client = client(HttpClientSettings.DEFAULTS);
+            assertInstanceOf(ExchangeFailedException.class, failureOf(send(client, peer, "/")), status + end);
+        }
+    }
+
     private static void sleep(long millis) throws IOException {
         try {
             Thread.sleep(millis);
