--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerLimits.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/ServerLimits.java
@@ -50,6 +50,9 @@
     /** The same for cold servers, whose requests are counted in one second. */
     private static final long COLD_GRANT_WINDOW_MILLIS = 1_000 + MAX_TRANSIT_MILLIS;
 
+    /** Greatest window of a small part of a limit; a server is not cold for longer. */
+    private static final long MAX_WINDOW_MILLIS = 600_000;
+
     /** Time for which a server is left alone when its owner does not answer. */
     private static final long OWNER_SILENT_MILLIS = 300;
 
@@ -93,7 +96,9 @@
                 return new Allowance((int) requests, COLD_GRANT_WINDOW_MILLIS, isColdForSure);
             }
             // Hosts that are each cut off from the others have a small share, and together must not send one each.
-            return isColdForSure ? new Allowance(1, (long) (COLD_GRANT_WINDOW_MILLIS / requests), true) : own();
+            return isColdForSure
+                    ? new Allowance(1, (long) Math.min(MAX_WINDOW_MILLIS, COLD_GRANT_WINDOW_MILLIS / requests), true)
+                    : own();
         }
     }
 
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/ColdServersTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/ColdServersTest.java
@@ -155,6 +155,13 @@
         assertTrue(limits.grantWithoutOwner(server(1).id(), statedAsWell, NOW + 60_000) > 0);
     }
 
+    @Test
+    void serverThatToleratesNothingIsLeftAlone() {
+        ServerLimits limits = new ServerLimits(new HostId("h1"), cold);
+        assertTrue(limits.grant(server(1).id(), PermitTerms.cold(0), NOW) > 0);
+        assertTrue(limits.grant(server(1).id(), PermitTerms.cold(0), NOW + 10_000) > 0);
+    }
+
     @Test
     void refusedRequestUsesUpNoLimit() {
         ServerLimits limits = new ServerLimits(new HostId("h1"), cold);
