--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/ColdServersLoadTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/ColdServersLoadTest.java
@@ -192,13 +192,14 @@
         for (int h = 0; h < hostCount; h++) {
             dropsOwnerMillis[h] = BACK_MILLIS + changeAfterMillis + random.nextInt(500);
         }
+        List<HostId> rest = fleet.ids.stream()
+                .filter(id -> !id.equals(fleet.ids.get(owner)))
+                .toList();
         for (long now = BACK_MILLIS; now < BACK_MILLIS + COLD_MILLIS; now += STEP_MILLIS) {
-            List<HostId> rest = fleet.ids.stream()
-                    .filter(id -> !id.equals(fleet.ids.get(owner)))
-                    .toList();
             for (int h = 0; h < hostCount && hostCount > 1; h++) {
                 if (h != owner && now >= dropsOwnerMillis[h]) {
                     fleet.limits.get(h).setHosts(rest, rest.size() / (double) hostCount);
+                    dropsOwnerMillis[h] = Long.MAX_VALUE;
                 }
             }
             boolean isOwnerDown = now >= BACK_MILLIS + changeAfterMillis;
