Do not wait for the warm-up while fewer than half of the other hosts serve

Cause: after the loss of all hosts at once, the first host that served made all others wait for their warm-ups, up to 3 s, while it got the callers of all. Change: FleetView.mostServe; a host that starts waits only if at least half of the others that serve or start to do so are serving.

--- a/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/gossip/FleetView.java
@@ -414,6 +414,23 @@
         return reachableHosts(nowMillis).stream().anyMatch(r -> r.phase().takesCallers() && !r.isCutOff());
     }
 
+    /**
+     * Tells whether the fleet can do without one more host for a while. The load that this answers: most hosts have ended at
+     * once, and the few that serve again get the callers of all while the others prepare.
+     *
+     * @param nowMillis the current time
+     * @return true if at least half of the other hosts that serve or start to do so are serving
+     */
+    public boolean mostServe(long nowMillis) {
+        List<HostReport> staying = reachableHosts(nowMillis).stream()
+                .filter(r -> r.phase() != HostPhase.LEAVING)
+                .toList();
+        long serving = staying.stream()
+                .filter(r -> r.phase().takesCallers() && !r.isCutOff())
+                .count();
+        return serving > 0 && serving >= MAJORITY * staying.size();
+    }
+
     /**
      * Returns the reachable share of the hosts that may be spending shared budgets.
      *
--- a/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/gossip/FleetViewTest.java
@@ -377,6 +377,22 @@
         assertEquals(List.of(), view.prioritiesElsewhere(100 + FleetView.REACH_TIMEOUT_MILLIS + 1));
     }
 
+    /** All hosts start again at once; the first ones to serve must not carry the callers of all while the others warm up. */
+    @Test
+    void fleetCanDoWithoutOneMoreHostOnlyOnceHalfOfTheOthersServe() {
+        FleetView view = new FleetView(new HostId("h1"), 0, List.of(), new SplittableRandom(1));
+        Fleet fleet = new Fleet();
+        assertFalse(view.mostServe(100), "no other host is known");
+        for (int i = 2; i <= 16; i++) {
+            fleet.start(i, List.of(), 0);
+            boolean serves = i <= 8;
+            view.apply(fleet.report(address(i), 100).withPhase(serves ? HostPhase.READY : HostPhase.STARTING), 100);
+            assertEquals(i < 16, view.mostServe(100), "7 serve of " + (i - 1));
+        }
+        view.apply(fleet.report(address(16), 200).withPhase(HostPhase.LEAVING), 200);
+        assertTrue(view.mostServe(200), "one that leaves is not waited for");
+    }
+
     @Test
     void aMajorityHasOneLeader() {
         Fleet fleet = new Fleet();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -424,9 +424,9 @@
         entry.update(fleet, reporter.phase(), reach.isCutOff(), context.state().table(), clock.nowMillis());
     }
 
-    /** Callers who can go nowhere else are better off with a host that is slow at first. */
+    /** While few hosts serve, their callers are better off with one more that is slow at first. */
     private boolean waitsForWarmUp() {
-        return !warmUp.isOver() && (settings.isFirstStart() || reporter.othersServe());
+        return !warmUp.isOver() && (settings.isFirstStart() || fleet.mostServe(clock.nowMillis()));
     }
 
     /**
