Let waiting urgent requests go first unless room is kept for them, and warm up what permits need

Change: costs are compared over priorities unless engines are kept; the warm-up asks for the terms of permits.

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/FairAdmissionQueue.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/FairAdmissionQueue.java
@@ -332,17 +332,18 @@
     }
 
     /**
-     * Tells whether a new request must queue behind others. More urgent ones that wait do not hold it up: room is kept for
-     * them.
+     * Tells whether a new request must queue behind others.
      *
      * @param attributes its scheduling attributes
+     * @param isRoomKept whether room is kept for more urgent requests, so that those which wait do not hold it up
      * @param nowMillis the current time
-     * @return true if a request of its priority, and of the same or a better rank, is queued in its lane
+     * @return true if a request that goes before it is queued in its lane
      */
-    public boolean mustQueue(Attributes attributes, long nowMillis) {
+    public boolean mustQueue(Attributes attributes, boolean isRoomKept, long nowMillis) {
         CallerCost cost = costOf(attributes, nowMillis);
         return queued.values().stream()
-                .filter(other -> other.lane() == attributes.lane() && other.hasPriorityOf(attributes))
+                .filter(other -> other.lane() == attributes.lane())
+                .filter(other -> !isRoomKept || other.hasPriorityOf(attributes))
                 .anyMatch(other -> costOf(other, nowMillis).compareTo(cost) <= 0);
     }
 
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/FairAdmissionQueueTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/FairAdmissionQueueTest.java
@@ -50,8 +50,8 @@
         shares.recordUsage(CALM.get(), 3_000, 0);
         FairAdmissionQueue<String> queue = new FairAdmissionQueue<>(shares);
         queue.add("burst", attributes(BURST, 10), 10);
-        assertTrue(queue.mustQueue(attributes(BURST, 20), 20));
-        assertFalse(queue.mustQueue(attributes(CALM, 20), 20));
+        assertTrue(queue.mustQueue(attributes(BURST, 20), false, 20));
+        assertFalse(queue.mustQueue(attributes(CALM, 20), false, 20));
         queue.add("calm", attributes(CALM, 20), 20);
         assertEquals(Optional.of("calm"), queue.first(FairAdmissionQueue.Lane.NEW, WaitingRank.NONE, 30));
         queue.remove("calm");
@@ -67,13 +67,13 @@
         FairAdmissionQueue.Attributes goesOn =
                 new FairAdmissionQueue.Attributes(CALM, 100, 100, 2_800, FairAdmissionQueue.Lane.CONTINUATION);
         queue.add("new", attributes(CALM, 0), 0);
-        assertFalse(queue.mustQueue(goesOn, 100));
+        assertFalse(queue.mustQueue(goesOn, false, 100));
         queue.add("goes on", goesOn, 100);
         FairAdmissionQueue.Lane lane = FairAdmissionQueue.Lane.CONTINUATION;
         assertEquals(Optional.of("goes on"), queue.first(lane, WaitingRank.ON_TIME, 2_000));
         assertEquals(Optional.of("new"), queue.first(FairAdmissionQueue.Lane.NEW, WaitingRank.NONE, 2_000));
         queue.remove("new");
-        assertFalse(queue.mustQueue(attributes(CALM, 200), 200), "engines of another version may have room");
+        assertFalse(queue.mustQueue(attributes(CALM, 200), false, 200), "engines of another version may have room");
         assertEquals(WaitingRank.NONE, queue.bestRank(200), "other hosts do not leave their room to it");
     }
 
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/KeptRoomLoadTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/KeptRoomLoadTest.java
@@ -104,7 +104,7 @@
                     request.place().standing().workspace().orElseThrow(),
                     request.work().chargedTokens(),
                     now);
-            if (queue.mustQueue(request.place(), now) || !place(request)) {
+            if (queue.mustQueue(request.place(), isRoomKept, now) || !place(request)) {
                 queue.add(request, request.place(), now);
             }
         }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/CapacityQueue.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/CapacityQueue.java
@@ -94,7 +94,7 @@
 
     /** Returns whether a new request must queue behind waiting ones. */
     boolean mustQueue(FairAdmissionQueue.Attributes place) {
-        return queue.mustQueue(place, loop.nowMillis());
+        return queue.mustQueue(place, context.keptRoom().keptEngines(service) > 0, loop.nowMillis());
     }
 
     /** Returns the requests that run or wait; none if all requests of the service have the same priority. */
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/warmup/WarmUp.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/warmup/WarmUp.java
@@ -169,7 +169,9 @@
         return new RequestRouter(
                 context,
                 new OnlyHost(),
-                (server, purpose, onResult) -> onResult.accept(true),
+                (server, purpose, onResult) -> onResult.accept(context.serverLimits()
+                        .termsOf(server, purpose, context.loop().nowMillis())
+                        .isEmpty()),
                 new NoOrigins(),
                 new NoRelays(),
                 onDone -> onDone.accept(true));
