Send no spending notices in small fleets, and sum demand by priority ten times a second at most

While requests wait, hosts report each 60 ms, and each report was followed by a notice to as many hosts; each received report summed the demand by priority.

--- a/guavathread-core/src/main/java/org/guavathread/core/share/SharedTokenLimits.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/share/SharedTokenLimits.java
@@ -255,7 +255,8 @@
     }
 
     /**
-     * Returns totals of workspaces whose limits are nearly used up, to be sent to other hosts between reports.
+     * Returns totals of workspaces whose limits are nearly used up, to be sent to other hosts between reports. In small
+     * fleets, reports tell them soon enough.
      *
      * @param process this host's process
      * @param sequence number of its latest report
@@ -264,6 +265,9 @@
      * @return the totals of this host and of others, those that few hosts know first
      */
     public List<SpendingNotice.Total> news(int process, long sequence, int limit, long nowMillis) {
+        if (fleetSize <= MAX_HOSTS_WITH_REPORTS_ONLY) {
+            return List.of();
+        }
         scarceUntilMillis.values().removeIf(until -> until < nowMillis);
         List<SpendingNotice.Total> news = new ArrayList<>();
         buckets.forEach((workspace, bucket) -> {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
@@ -30,6 +30,9 @@
     /** Report interval of a fleet of up to 40 hosts; a host counts as unreachable after five missed reports. */
     private static final long REPORT_INTERVAL_MILLIS = 250;
 
+    /** Minimum time between two sums of the requests by priority; their averages follow over seconds. */
+    private static final long DEMAND_INTERVAL_MILLIS = 100;
+
     /** Minimum time between two reports; freed capacity is reported early so that hosts with waiting requests use it. */
     private static final long MIN_REPORT_INTERVAL_MILLIS = 60;
 
@@ -75,6 +78,8 @@
     private int blamedTraits;
     private long sentAtMillis;
     private long summedAtMillis;
+    private long spendingSentAtMillis;
+    private long demandUpdatedAtMillis;
     private boolean reportScheduled;
     private boolean cutOff;
     private RequestRouter router;
@@ -256,7 +261,10 @@
         context.loads()
                 .remoteLoadsChanged(() -> fleet.loadOfOthers(context.loop().nowMillis()));
         context.health().replaceUnreachableForOthers(fleet.unreachableForOthers(nowMillis), nowMillis);
-        context.demand().update(router.priorityLoads(), fleet.prioritiesElsewhere(nowMillis), nowMillis);
+        if (nowMillis - demandUpdatedAtMillis >= DEMAND_INTERVAL_MILLIS) {
+            demandUpdatedAtMillis = nowMillis;
+            context.demand().update(router.priorityLoads(), fleet.prioritiesElsewhere(nowMillis), nowMillis);
+        }
     }
 
     private void send() {
@@ -287,6 +295,10 @@
     }
 
     private void sendSpending(List<SocketAddressText> receivers, long nowMillis) {
+        if (nowMillis - spendingSentAtMillis < REPORT_INTERVAL_MILLIS) {
+            return;
+        }
+        spendingSentAtMillis = nowMillis;
         context.limits().expire(nowMillis);
         int own = HostHeartbeat.processOf(identity.host(), identity.incarnation());
         List<SpendingNotice.Total> totals = context.limits().news(own, sequence, MAX_SPENDING_TOTALS, nowMillis);
