Take an answer for broken if a line of its head is no field

What callers saw: a server in trouble sent a head with a line that is no field, or with a blank or a control byte in the name of a field, and the caller got a complete 200. Where the name was that of the length, the body was all that came until the close; a line without a colon took the rest of the head with it.

Cause: only the first twelve bytes of an answer were checked, by StatusLineCheck. The rest was read by Grizzly's codec, which takes any byte as part of a name, drops lines that it cannot read, and passes NUL and a lone CR on.

Change: AnswerReader holds each byte of the head against the grammar of RFC 9112, sections 4 and 5 (status line, then field lines: a token, a colon, text without control characters, CRLF), and gives the head to the codec only when all of it has arrived. It stands in front of the one client through which a host reads all HTTP answers: of servers, the store and other hosts. A malformed answer fails the exchange as a lost connection does (also one with a malformed status line, which had no cause and counted as silence before): the request may have run, the connection is closed, and the next server is tried where the request may be repeated.

Sound answers with empty values, bytes above 127 in values, any case of names, and no length are passed on as before.

--- a/guavathread-router/src/main/java/org/guavathread/router/http/CloseDetectingTransportFilter.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/CloseDetectingTransportFilter.java
@@ -43,15 +43,26 @@
             return ctx.getStopAction();
         }
         bytes.flip();
-        if (pooled != null && !pooled.acceptsAnswer(bytes)) {
-            HttpExchange exchange = pooled.exchange();
-            if (exchange != null) {
-                exchange.fail("the answer has no status of HTTP", null);
-            }
-            ctx.getConnection().closeSilently();
+        ByteBuffer checked = pooled == null ? bytes : check(pooled, bytes);
+        if (!checked.hasRemaining()) {
             return ctx.getStopAction();
         }
-        ctx.setMessage(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes));
+        ctx.setMessage(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, checked));
         return ctx.getInvokeAction();
     }
+
+    /** Returns the bytes for the codec; fails the exchange and closes the connection if they are no part of an answer. */
+    private static ByteBuffer check(PooledConnection pooled, ByteBuffer bytes) {
+        HttpExchange exchange = pooled.exchange();
+        if (exchange == null) {
+            return bytes;
+        }
+        try {
+            return pooled.answer().accept(bytes);
+        } catch (MalformedMessageException e) {
+            exchange.fail("the answer is malformed: " + e.getMessage(), e);
+            pooled.connection().closeSilently();
+            return ByteBuffer.allocate(0);
+        }
+    }
 }
--- a/guavathread-router/src/main/java/org/guavathread/router/http/ConnectionPool.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/ConnectionPool.java
@@ -185,6 +185,10 @@
         attempt.start();
     }
 
+    int maxHeadBytes() {
+        return settings.maxHeadBytes();
+    }
+
     synchronized int idleCount() {
         return idle.size();
     }
--- a/guavathread-router/src/main/java/org/guavathread/router/http/PooledConnection.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/PooledConnection.java
@@ -28,7 +28,7 @@
     private volatile boolean closedOrderly;
     private volatile int writes;
     private volatile long writtenBytesAtEnd;
-    private volatile StatusLineCheck statusLine = new StatusLineCheck();
+    private volatile AnswerReader answer;
 
     PooledConnection(ConnectionPool pool, Connection<?> connection) {
         this.pool = pool;
@@ -56,7 +56,7 @@
     void bind(HttpExchange next) {
         writtenBytes = 0;
         writes = 0;
-        statusLine = new StatusLineCheck();
+        answer = new AnswerReader(pool.maxHeadBytes());
         exchange = next;
     }
 
@@ -118,9 +118,9 @@
         return writes <= 1 || writtenBytesAtEnd == writtenBytes;
     }
 
-    /** Checks the first bytes of an answer. */
-    boolean acceptsAnswer(ByteBuffer bytes) {
-        return exchange == null || statusLine.accepts(bytes);
+    /** Returns what reads the answer of the exchange that was bound last. */
+    AnswerReader answer() {
+        return answer;
     }
 
     /** Marks the connection as removed from the pool; returns false if it already was. */
--- /dev/null
+++ b/guavathread-router/src/test/java/org/guavathread/router/http/MalformedAnswerTest.java
@@ -0,0 +1,235 @@
+package org.guavathread.router.http;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against answers that are malformed by RFC 9112 and are taken for complete ones, and sound ones that are refused. */
+class MalformedAnswerTest {
+
+    private static final String BODY = "hello, world";
+    private static final long TIMEOUT_MILLIS = 20_000;
+
+    /** How the peer writes an answer. */
+    private enum Pieces {
+        WHOLE,
+        TWO,
+        BYTES;
+
+        void write(OutputStream out, String text) throws IOException {
+            byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
+            int length =
+                    switch (this) {
+                        case WHOLE -> bytes.length;
+                        case TWO -> (bytes.length + 1) / 2;
+                        case BYTES -> 1;
+                    };
+            for (int at = 0; at < bytes.length; at += length) {
+                out.write(bytes, at, Math.min(length, bytes.length - at));
+                out.flush();
+                pause(this == TWO ? 10 : 0);
+            }
+        }
+
+        private static void pause(long millis) throws IOException {
+            try {
+                Thread.sleep(millis);
+            } catch (InterruptedException e) {
+                throw new IOException("The test was interrupted.", e);
+            }
+        }
+    }
+
+    private HttpClient client;
+    private final List<ScriptedPeer> peers = new ArrayList<>();
+
+    @BeforeEach
+    void open() throws IOException {
+        client = HttpClient.start(HttpClientSettings.DEFAULTS, System::currentTimeMillis);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        client.close();
+        for (ScriptedPeer peer : peers) {
+            peer.close();
+        }
+    }
+
+    private ScriptedPeer peer(ScriptedPeer.Script script) throws IOException {
+        peers.add(new ScriptedPeer(script));
+        return peers.get(peers.size() - 1);
+    }
+
+    private CompletableFuture<HttpResponse> send(ScriptedPeer peer, String path) {
+        HttpRequest request = HttpRequest.get(path)
+                .acceptCloseDelimitedResponse()
+                .deadlineMillis(System.currentTimeMillis() + TIMEOUT_MILLIS)
+                .build();
+        return client.send(peer.address(), request);
+    }
+
+    /** Sends an answer in all kinds of pieces, with the connection left open and closed; it must fail at once in each. */
+    private void assertNoAnswer(String malformed) throws Exception {
+        for (Pieces pieces : Pieces.values()) {
+            for (boolean isLeftOpen : new boolean[] {true, false}) {
+                ScriptedPeer peer = peer((head, out, socket) -> {
+                    if (head.contains("/sound")) {
+                        return ScriptedPeer.ok(out, BODY);
+                    }
+                    pieces.write(out, malformed);
+                    return isLeftOpen;
+                });
+                String shown = pieces + ", left open: " + isLeftOpen + ": " + malformed;
+                long beganMillis = System.currentTimeMillis();
+                ExecutionException failure = assertThrows(
+                        ExecutionException.class, () -> send(peer, "/malformed").get(), shown);
+                assertInstanceOf(ExchangeFailedException.class, failure.getCause(), shown);
+                assertNotNull(failure.getCause().getCause(), "counts as a broken connection: " + shown);
+                assertTrue(System.currentTimeMillis() - beganMillis < TIMEOUT_MILLIS / 2, "failed late: " + shown);
+                Polling.until("the connection is closed", () -> peer.endedConnections() == 1);
+                assertEquals(
+                        BODY, send(peer, "/sound").get(20, TimeUnit.SECONDS).text());
+            }
+        }
+    }
+
+    private void assertAnswer(String sound, boolean endsWithConnection) throws Exception {
+        for (Pieces pieces : Pieces.values()) {
+            ScriptedPeer peer = peer((head, out, socket) -> {
+                pieces.write(out, sound);
+                return !endsWithConnection;
+            });
+            for (int i = 0; i < 2; i++) {
+                HttpResponse answer = send(peer, "/" + i).get(20, TimeUnit.SECONDS);
+                assertEquals(200, answer.status(), pieces + ": " + sound);
+                assertEquals(BODY, answer.text(), pieces + ": " + sound);
+                if (!endsWithConnection) {
+                    Polling.until("connection is back in the pool", () -> client.idleConnections(peer.address()) == 1);
+                }
+            }
+            assertEquals(endsWithConnection ? 2 : 1, peer.connections(), pieces + ": " + sound);
+        }
+    }
+
+    private static String withLength(String lines) {
+        return "HTTP/1.1 200 OK\r\n" + lines + "Content-Length: " + BODY.length() + "\r\n\r\n" + BODY;
+    }
+
+    private static String framedBy(String lines) {
+        return "HTTP/1.1 200 OK\r\n" + lines + "\r\n" + BODY;
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                " ", "\t", "\0", "\u0001", "\u000b", "\u001b", "\u007f", "\u0080", "\u00ff", "(", ")", "<", ">", "@",
+                ",", ";", "\\", "\"", "/", "[", "]", "?", "=", "{", "}"
+            })
+    void nameOfAFieldIsAToken(String noTokenCharacter) throws Exception {
+        for (String name : List.of(noTokenCharacter + "X-A", "X-" + noTokenCharacter + "A", "X-A" + noTokenCharacter)) {
+            assertNoAnswer(withLength("X-First: 1\r\n" + name + ": 1\r\n"));
+        }
+        assertNoAnswer(framedBy("Content-Length" + noTokenCharacter + ": 12\r\n"));
+        assertNoAnswer(framedBy("Content-" + noTokenCharacter + "Length: 12\r\n"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "X-A\r\n",
+                ": 1\r\n",
+                " X-A: 1\r\n",
+                "\tX-A: 1\r\n",
+                "X-A: 1\r\n folded\r\n",
+                "X-A: 1\r\n\tfolded\r\n",
+                "X-A: 1\n",
+                "X-A: 1\rX-B: 2\r\n",
+                "X-A: 1\r\r\n",
+                "no field at all\r\n",
+                "\rX-A: 1\r\n"
+            })
+    void lineOfAHeadIsAField(String line) throws Exception {
+        assertNoAnswer(withLength(line));
+        assertNoAnswer(withLength("X-First: 1\r\n" + line));
+        assertNoAnswer(framedBy("Content-Length: 12\r\n" + line));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"\0", "\u0001", "\u0008", "\n", "\u000b", "\r", "\u001b", "\u007f"})
+    void valueOfAFieldAndReasonHoldNoControlByte(String control) throws Exception {
+        for (String value : List.of(control, "a" + control, control + "a", "a" + control + "b")) {
+            assertNoAnswer(withLength("X-A: " + value + "\r\n"));
+            assertNoAnswer(withLength("").replace("OK", value));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 000 OK",
+                "HTTP/1.1 2000 OK",
+                "HTTP/1.1 20 OK",
+                "HTTP/1.1 200OK",
+                "HTTP/1.1  200 OK",
+                "HTTP/1.1\t200 OK",
+                "HTTP/1.1 200\tOK",
+                "HTTP/2 200 OK",
+                "HTTP/1.10 200 OK",
+                "http/1.1 200 OK",
+                " HTTP/1.1 200 OK",
+                "ICY 200 OK",
+                "\0",
+                "\r\nHTTP/1.1 200 OK",
+                "HTTP/1.1 600 OK"
+            })
+    void firstLineIsAStatusLine(String line) throws Exception {
+        assertNoAnswer(withLength("").replace("HTTP/1.1 200 OK", line));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length: 12\r\n",
+                "content-length:12\r\n",
+                "Content-Length: 012\r\n",
+                "Content-Length: 0000000000000000000000000000012\r\n",
+                "Content-Length: 12\r\nContent-Length: 12\r\n",
+                "X-Empty:\r\nX-Blank: \t \r\nContent-Length: 12\r\n",
+                "X-Latin: \u00e9\u00ff\u0080\r\nContent-Length: 12\r\n",
+                "X-Tab: a\tb\r\nContent-Length: 12\r\n",
+                "!#$%&'*+-.^_`|~09azAZ: 1\r\nContent-Length: 12\r\n",
+                "X-Colons: a:b: \"c\"\r\nContent-Length: 12\r\n"
+            })
+    void soundAnswerWithALengthIsPassedOn(String lines) throws Exception {
+        assertAnswer(framedBy(lines), false);
+        for (String statusLine :
+                List.of("HTTP/1.1 200 \r\n", "HTTP/1.1 200\r\n", "HTTP/1.1 200 \u00e9t\u00e9\tvu\r\n")) {
+            assertAnswer(framedBy(lines).replace("HTTP/1.1 200 OK\r\n", statusLine), false);
+        }
+        assertAnswer(framedBy(lines).replace("HTTP/1.1", "HTTP/1.0"), true);
+    }
+
+    @Test
+    void answerWithoutALengthEndsWithItsConnection() throws Exception {
+        assertAnswer(framedBy("X-A: 1\r\n"), true);
+        assertAnswer(framedBy("Connection: close\r\n").replace("HTTP/1.1", "HTTP/1.0"), true);
+    }
+}
