Take an answer for broken if its head tells no end or two ends of the body

What callers saw: a server in trouble sent an answer whose head was spoilt where it tells the length of the body, and the caller got a complete 200 with a body that was not the server's: cut at the first of two lengths, or with the chunk sizes inside.

Cause: the codec takes the first of several lengths, takes the last coding it knows beside a length, and reads codings it does not know as if only the close ended the body.

Change: AnswerFraming decides where the body ends by RFC 9112, section 6.3. All lengths must be decimal numbers and equal, the only coding is chunked, alone, not beside a length, and not in HTTP/1.0; a client that asks for no other coding gets none (section 6.1). The codec is given the head with the one form of the framing, so it cannot read it differently.

The same length twice, leading zeros, and 204, 205 and 304 with and without a length are passed on.

--- a/guavathread-router/src/main/java/org/guavathread/router/http/AnswerReader.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/AnswerReader.java
@@ -40,8 +40,9 @@
         if (!fields.isComplete()) {
             return ByteBuffer.allocate(0);
         }
-        ByteBuffer passed = ByteBuffer.allocate(head.size() + bytes.remaining());
-        return passed.put(head.toByteArray()).put(bytes).flip();
+        byte[] canonicalHead = new AnswerFraming(head.toByteArray()).canonicalHead();
+        ByteBuffer passed = ByteBuffer.allocate(canonicalHead.length + bytes.remaining());
+        return passed.put(canonicalHead).put(bytes).flip();
     }
 
     private void acceptHead(byte next) throws MalformedMessageException {
--- a/guavathread-router/src/test/java/org/guavathread/router/http/MalformedAnswerTest.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/http/MalformedAnswerTest.java
@@ -204,11 +204,65 @@
         assertNoAnswer(withLength("").replace("HTTP/1.1 200 OK", line));
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length: 12\r\nContent-Length: 5\r\n",
+                "Content-Length: 5\r\nContent-Length: 12\r\n",
+                "Content-Length: 12\r\nX-A: 1\r\ncontent-length: 012345\r\n",
+                "Content-Length: 5, 12\r\n",
+                "Content-Length: 12,\r\n",
+                "Content-Length: +12\r\n",
+                "Content-Length: -12\r\n",
+                "Content-Length: 12.0\r\n",
+                "Content-Length: 0xc\r\n",
+                "Content-Length: 1 2\r\n",
+                "Content-Length: 12a\r\n",
+                "Content-Length: \u00b9\u00b2\r\n",
+                "Content-Length: \r\n",
+                "Content-Length:\r\n",
+                "Content-Length: 12\r\nContent-Length:\r\n",
+                "Content-Length: 18446744073709551628\r\n",
+                "Content-Length: 99999999999999999999999999999999\r\n",
+                "Transfer-Encoding: \r\n",
+                "Transfer-Encoding: gzip\r\n",
+                "Transfer-Encoding: identity\r\n",
+                "Transfer-Encoding: chunked, gzip\r\n",
+                "Transfer-Encoding: gzip, chunked\r\n",
+                "Transfer-Encoding: chunked, chunked\r\n",
+                "Transfer-Encoding: chunked;q=1\r\n",
+                "Transfer-Encoding: \"chunked\"\r\n",
+                "Transfer-Encoding: xchunked\r\n",
+                "Transfer-Encoding: chunke\r\n",
+                "Transfer-Encoding: ,chunked\r\n",
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+                "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+                "Transfer-Encoding: chunked\r\nContent-Length: 22\r\n",
+                "Content-Length: 12\r\nTransfer-Encoding: chunked\r\n",
+                "Content-Length: 12\r\nTransfer-Encoding: gzip\r\n"
+            })
+    void lengthAndCodingTellOneEndOfTheBody(String lines) throws Exception {
+        assertNoAnswer(framedBy(lines));
+        assertNoAnswer(framedBy(lines).replace(BODY, "c\r\n" + BODY + "\r\n0\r\n\r\n"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nc\r\nhello, world\r\n0\r\n\r\n",
+                "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 12\r\n\r\nhello, world"
+            })
+    void codingIsUnknownToHttp10(String answer) throws Exception {
+        assertNoAnswer(answer);
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
                 "Content-Length: 12\r\n",
                 "content-length:12\r\n",
+                "CONTENT-LENGTH:\t12\t \r\n",
                 "Content-Length: 012\r\n",
                 "Content-Length: 0000000000000000000000000000012\r\n",
                 "Content-Length: 12\r\nContent-Length: 12\r\n",
@@ -227,6 +281,26 @@
         assertAnswer(framedBy(lines).replace("HTTP/1.1", "HTTP/1.0"), true);
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "204 No Content\r\n",
+                "204 No Content\r\nContent-Length: 0\r\n",
+                "304 Not Modified\r\n",
+                "304 Not Modified\r\nContent-Length: 12\r\n",
+                "205 Reset Content\r\nContent-Length: 0\r\n"
+            })
+    void answerWhoseStatusHasNoBodyEndsWithItsHead(String head) throws Exception {
+        ScriptedPeer peer = peer((request, out, socket) -> ScriptedPeer.text(out, "HTTP/1.1 " + head + "\r\n"));
+        for (int i = 0; i < 2; i++) {
+            HttpResponse answer = send(peer, "/" + i).get(20, TimeUnit.SECONDS);
+            assertEquals(Integer.parseInt(head.substring(0, 3)), answer.status());
+            assertEquals("", answer.text());
+            Polling.until("connection is back in the pool", () -> client.idleConnections(peer.address()) == 1);
+        }
+        assertEquals(1, peer.connections());
+    }
+
     @Test
     void answerWithoutALengthEndsWithItsConnection() throws Exception {
         assertAnswer(framedBy("X-A: 1\r\n"), true);
