Take an answer for broken if its chunks do not follow the grammar, and accept chunk extensions

What callers saw: a server in trouble sent a blank before the size of a chunk, or more bytes than the size names, and the caller got a complete 200 whose body was not the server's: the rest was dropped and the body cut. A sound answer with a chunk extension ended with 502.

Cause: the codec takes blanks before a size, does not look at what follows the data of a chunk, and fails at extensions.

Change: AnswerReader decodes chunks with the ChunkedBody that reads callers' uploads, moved beside it, and gives them to the codec without extensions and trailers. ChunkedBody now follows RFC 9112, section 7.1, to the letter: extensions (ChunkSizeLine) and trailers (FieldLines) are checked where any text was accepted. So an upload with blanks behind a chunk size, or with a trailer that is no field, now gets 400, not run.

--- a/guavathread-router/src/main/java/org/guavathread/router/caller/RequestAssembler.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/RequestAssembler.java
@@ -7,6 +7,8 @@
 import org.guavathread.core.request.Refusal;
 import org.guavathread.core.request.RefusalCode;
 import org.guavathread.core.routing.CallerBounds;
+import org.guavathread.router.http.ChunkedBody;
+import org.guavathread.router.http.MalformedMessageException;
 
 /**
  * Assembles the requests of one connection from its bytes, wherever they are split. Not thread-safe.
@@ -76,7 +78,7 @@
         if (unclear.isPresent()) {
             fault = Refusal.notRun(RefusalCode.BAD_REQUEST, unclear.get());
         } else if (framing.isChunked()) {
-            chunks = new ChunkedBody(body);
+            chunks = new ChunkedBody(body::write);
         } else {
             contentLength = framing.contentLength();
             refuseIfTooLarge(contentLength);
@@ -91,10 +93,10 @@
             return from + length;
         }
         try {
-            int end = chunks.accept(bytes, from);
+            int end = chunks.accept(bytes, from, bytes.length);
             refuseIfTooLarge(chunks.announcedLength());
             return end;
-        } catch (ChunkedBody.MalformedException e) {
+        } catch (MalformedMessageException e) {
             fault = refusal(RefusalCode.BAD_REQUEST, e.getMessage());
             return bytes.length;
         }
--- a/guavathread-router/src/main/java/org/guavathread/router/http/AnswerFraming.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/AnswerFraming.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 
 /**
  * How the head of an answer delimits the body that follows it (RFC 9112, section 6.3). An answer whose end two parsers could
@@ -20,11 +21,17 @@
     private static final int MAX_LENGTH_DIGITS = 18;
 
     private static final int MINOR_VERSION_INDEX = "HTTP/1.".length();
+    private static final int STATUS_INDEX = "HTTP/1.1 ".length();
+    private static final int STATUS_DIGITS = 3;
+
+    /** Statuses whose answers end with their heads, whatever these say: No Content, Not Modified. */
+    private static final Set<String> STATUSES_WITHOUT_BODY = Set.of("204", "304");
 
     private final StringBuilder headWithoutFraming = new StringBuilder();
     private final List<String> lengths = new ArrayList<>();
     private final List<String> codings = new ArrayList<>();
     private final boolean isHttp10;
+    private final boolean hasNoBody;
 
     /**
      * Reads a head.
@@ -35,6 +42,7 @@
     AnswerFraming(byte[] head) throws MalformedMessageException {
         String[] lines = new String(head, StandardCharsets.ISO_8859_1).split(END_OF_LINE);
         isHttp10 = lines[0].charAt(MINOR_VERSION_INDEX) == '0';
+        hasNoBody = STATUSES_WITHOUT_BODY.contains(lines[0].substring(STATUS_INDEX, STATUS_INDEX + STATUS_DIGITS));
         keep(lines[0]);
         for (int i = 1; i < lines.length; i++) {
             readField(lines[i]);
@@ -95,7 +103,8 @@
         return head.append(END_OF_LINE).toString().getBytes(StandardCharsets.ISO_8859_1);
     }
 
-    private boolean isChunked() {
-        return !codings.isEmpty();
+    /** Tells whether chunks follow the head. */
+    boolean isChunked() {
+        return !codings.isEmpty() && !hasNoBody;
     }
 }
--- a/guavathread-router/src/main/java/org/guavathread/router/http/AnswerReader.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/AnswerReader.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 
 /**
  * Holds the bytes of one answer against the grammar of HTTP/1.1 (RFC 9112) before the codec gets them: the codec takes more
@@ -9,10 +10,16 @@
  */
 final class AnswerReader {
 
+    private static final byte[] END_OF_LINE = {'\r', '\n'};
+    private static final byte[] END_OF_CHUNKS = "0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+
     private final int maxHeadBytes;
     private final StatusLineCheck statusLine = new StatusLineCheck();
     private final FieldLines fields = new FieldLines();
     private final ByteArrayOutputStream head = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream passed = new ByteArrayOutputStream();
+    private AnswerFraming framing;
+    private ChunkedBody chunks;
 
     /**
      * Creates a reader.
@@ -26,23 +33,28 @@
     /**
      * Takes the next bytes.
      *
-     * @param bytes the bytes as they were read
+     * @param bytes holds the bytes as they were read, from its first one on; not copied
+     * @param length their number
      * @return the bytes for the codec; none before the head has arrived whole
      * @throws MalformedMessageException if they are no part of an answer; the reader must not be used any more
      */
-    ByteBuffer accept(ByteBuffer bytes) throws MalformedMessageException {
-        if (fields.isComplete()) {
-            return bytes;
+    ByteBuffer accept(byte[] bytes, int length) throws MalformedMessageException {
+        if (framing != null && chunks == null) {
+            return ByteBuffer.wrap(bytes, 0, length);
         }
-        while (bytes.hasRemaining() && !fields.isComplete()) {
-            acceptHead(bytes.get());
+        passed.reset();
+        int at = 0;
+        while (at < length && framing == null) {
+            acceptHead(bytes[at++]);
         }
-        if (!fields.isComplete()) {
-            return ByteBuffer.allocate(0);
+        if (chunks != null && !chunks.isComplete()) {
+            at = chunks.accept(bytes, at, length);
+            if (chunks.isComplete()) {
+                passed.writeBytes(END_OF_CHUNKS);
+            }
         }
-        byte[] canonicalHead = new AnswerFraming(head.toByteArray()).canonicalHead();
-        ByteBuffer passed = ByteBuffer.allocate(canonicalHead.length + bytes.remaining());
-        return passed.put(canonicalHead).put(bytes).flip();
+        passed.write(bytes, at, length - at);
+        return ByteBuffer.wrap(passed.toByteArray());
     }
 
     private void acceptHead(byte next) throws MalformedMessageException {
@@ -55,5 +67,18 @@
         } else {
             statusLine.accept(next);
         }
+        if (fields.isComplete()) {
+            framing = new AnswerFraming(head.toByteArray());
+            passed.writeBytes(framing.canonicalHead());
+            chunks = framing.isChunked() ? new ChunkedBody(this::passChunk) : null;
+        }
+    }
+
+    /** Passes data on as a chunk without extensions, which the codec does not read. */
+    private void passChunk(byte[] bytes, int from, int length) {
+        passed.writeBytes(Integer.toHexString(length).getBytes(StandardCharsets.US_ASCII));
+        passed.writeBytes(END_OF_LINE);
+        passed.write(bytes, from, length);
+        passed.writeBytes(END_OF_LINE);
     }
 }
--- a/guavathread-router/src/main/java/org/guavathread/router/http/CloseDetectingTransportFilter.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/CloseDetectingTransportFilter.java
@@ -58,7 +58,7 @@
             return bytes;
         }
         try {
-            return pooled.answer().accept(bytes);
+            return pooled.answer().accept(bytes.array(), bytes.limit());
         } catch (MalformedMessageException e) {
             exchange.fail("the answer is malformed: " + e.getMessage(), e);
             pooled.connection().closeSilently();
--- a/guavathread-router/src/test/java/org/guavathread/router/http/MalformedAnswerTest.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/http/MalformedAnswerTest.java
@@ -133,6 +133,10 @@
         return "HTTP/1.1 200 OK\r\n" + lines + "Content-Length: " + BODY.length() + "\r\n\r\n" + BODY;
     }
 
+    private static String chunked(String chunks) {
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks;
+    }
+
     private static String framedBy(String lines) {
         return "HTTP/1.1 200 OK\r\n" + lines + "\r\n" + BODY;
     }
@@ -257,6 +261,71 @@
         assertNoAnswer(answer);
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                " c\r\n",
+                "\tc\r\n",
+                "c \r\n",
+                "c\t\r\n",
+                "\r\n",
+                "0xc\r\n",
+                "+c\r\n",
+                "-c\r\n",
+                "c.0\r\n",
+                "g\r\n",
+                "c\n",
+                "c\r\r\n",
+                "c,\r\n",
+                "c a=b\r\n",
+                "c;\r\n",
+                "c;=b\r\n",
+                "c;a=\r\n",
+                "c;a=\"b\r\n",
+                "c;a=\"b\"c\r\n",
+                "c;a b\r\n",
+                "c;a=b c\r\n",
+                "c;a=\0\r\n",
+                "c;a=\"\u0001\"\r\n",
+                "c;(a)=b\r\n",
+                "c;a=b;\r\n",
+                "c\0\r\n",
+                "\u00b9\u00b2\r\n",
+                "00000000c\r\n",
+                "fffffffffffffffc\r\n",
+                "10000000000000000c\r\n",
+                "b\r\n",
+                "d\r\n",
+                "8\r\n",
+                "1c\r\n"
+            })
+    void chunkBeginsWithItsSize(String sizeLine) throws Exception {
+        assertNoAnswer(chunked(sizeLine + BODY + "\r\n0\r\n\r\n").replace("0\r\n\r\n", "0\r\n\r\n" + "x".repeat(20)));
+        assertNoAnswer(chunked("5\r\nfirst\r\n" + sizeLine + BODY + "\r\n0\r\n\r\n" + "x".repeat(20)));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "c\r\nhello, worldmore\r\n0\r\n\r\n",
+                "c\r\nhello, world\n0\r\n\r\n",
+                "c\r\nhello, world0\r\n\r\n",
+                "c\r\nhello, world\r\r\n0\r\n\r\n",
+                "c\r\nhello, world\r\n0\r\nX-A\r\n\r\n",
+                "c\r\nhello, world\r\n0\r\nX A: 1\r\n\r\n",
+                "c\r\nhello, world\r\n0\r\n: 1\r\n\r\n",
+                "c\r\nhello, world\r\n0\r\n X-A: 1\r\n\r\n",
+                "c\r\nhello, world\r\n0\r\nX-A: \0\r\n\r\n",
+                "c\r\nhello, world\r\n0\r\nX-A: 1\n\r\n",
+                "c\r\nhello, world\r\n0\n\r\n",
+                "c\r\nhello, world\r\n0\r\n\n",
+                "c\r\nhello, world\r\n0 \r\n\r\n",
+                "c\r\nhello, world\r\n-0\r\n\r\n"
+            })
+    void chunksEndWhereTheirSizesSay(String chunks) throws Exception {
+        assertNoAnswer(chunked(chunks));
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
@@ -281,11 +350,31 @@
         assertAnswer(framedBy(lines).replace("HTTP/1.1", "HTTP/1.0"), true);
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "c\r\nhello, world\r\n0\r\n\r\n",
+                "C\r\nhello, world\r\n0\r\n\r\n",
+                "0000000c\r\nhello, world\r\n00\r\n\r\n",
+                "5\r\nhello\r\n7\r\n, world\r\n0\r\n\r\n",
+                "c;a=b\r\nhello, world\r\n0\r\n\r\n",
+                "c;a\r\nhello, world\r\n0;end\r\n\r\n",
+                "c ; a = b\t;c=\"d;\\\" \u00e9\"\r\nhello, world\r\n0\r\n\r\n",
+                "c;a=\"\"\r\nhello, world\r\n0\r\n\r\n",
+                "c\r\nhello, world\r\n0\r\nX-Trailer: 1\r\nX-More:\r\n\r\n"
+            })
+    void soundChunksArePassedOn(String chunks) throws Exception {
+        for (String coding : List.of("chunked", "Chunked", "CHUNKED\t")) {
+            assertAnswer(chunked(chunks).replace("chunked", coding), false);
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
                 "204 No Content\r\n",
                 "204 No Content\r\nContent-Length: 0\r\n",
+                "204 No Content\r\nTransfer-Encoding: chunked\r\n",
                 "304 Not Modified\r\n",
                 "304 Not Modified\r\nContent-Length: 12\r\n",
                 "205 Reset Content\r\nContent-Length: 0\r\n"
