Close connections on which bytes arrive that belong to no answer

What callers saw: a server that sent more than its answer, and the rest a moment later, made the next exchange on that connection fail, though its answer to that request was sound.

Cause: bytes that arrive on an idle connection were given to the codec, which kept them as the beginning of the next answer. Bytes that arrive together with an answer reached the codec after the connection was back in the pool.

Change: AnswerReader knows the end of an answer (its length, its last chunk, its head if the status has no body) and passes nothing on behind it. A connection with bytes behind its answer does not return to the pool, and one on which bytes arrive while it is idle is closed.

--- a/guavathread-router/src/main/java/org/guavathread/router/http/AnswerFraming.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/AnswerFraming.java
@@ -107,4 +107,12 @@
     boolean isChunked() {
         return !codings.isEmpty() && !hasNoBody;
     }
+
+    /** Returns the length of a body that is not chunked, in bytes; the greatest number if it ends with the connection. */
+    long unchunkedLength() {
+        if (hasNoBody) {
+            return 0;
+        }
+        return lengths.isEmpty() ? Long.MAX_VALUE : Long.parseLong(lengths.get(0));
+    }
 }
--- a/guavathread-router/src/main/java/org/guavathread/router/http/AnswerReader.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/AnswerReader.java
@@ -20,6 +20,8 @@
     private final ByteArrayOutputStream passed = new ByteArrayOutputStream();
     private AnswerFraming framing;
     private ChunkedBody chunks;
+    private long unchunkedBytesLeft;
+    private boolean hasBytesBehind;
 
     /**
      * Creates a reader.
@@ -35,25 +37,23 @@
      *
      * @param bytes holds the bytes as they were read, from its first one on; not copied
      * @param length their number
-     * @return the bytes for the codec; none before the head has arrived whole
+     * @return the bytes for the codec, up to the end of the answer; none before the head has arrived whole
      * @throws MalformedMessageException if they are no part of an answer; the reader must not be used any more
      */
     ByteBuffer accept(byte[] bytes, int length) throws MalformedMessageException {
         if (framing != null && chunks == null) {
-            return ByteBuffer.wrap(bytes, 0, length);
+            return ByteBuffer.wrap(bytes, 0, acceptUnchunked(length));
         }
         passed.reset();
         int at = 0;
         while (at < length && framing == null) {
             acceptHead(bytes[at++]);
         }
-        if (chunks != null && !chunks.isComplete()) {
-            at = chunks.accept(bytes, at, length);
-            if (chunks.isComplete()) {
-                passed.writeBytes(END_OF_CHUNKS);
-            }
+        if (chunks != null) {
+            acceptChunks(bytes, at, length);
+        } else if (framing != null) {
+            passed.write(bytes, at, acceptUnchunked(length - at));
         }
-        passed.write(bytes, at, length - at);
         return ByteBuffer.wrap(passed.toByteArray());
     }
 
@@ -71,9 +71,26 @@
             framing = new AnswerFraming(head.toByteArray());
             passed.writeBytes(framing.canonicalHead());
             chunks = framing.isChunked() ? new ChunkedBody(this::passChunk) : null;
+            unchunkedBytesLeft = framing.unchunkedLength();
         }
     }
 
+    /** Returns how many of the bytes that have arrived belong to a body without chunks. */
+    private int acceptUnchunked(int arrived) {
+        int belonging = (int) Math.min(unchunkedBytesLeft, arrived);
+        unchunkedBytesLeft -= belonging;
+        hasBytesBehind |= belonging < arrived;
+        return belonging;
+    }
+
+    private void acceptChunks(byte[] bytes, int from, int to) throws MalformedMessageException {
+        int end = chunks.accept(bytes, from, to);
+        if (chunks.isComplete()) {
+            passed.writeBytes(END_OF_CHUNKS);
+        }
+        hasBytesBehind = end < to;
+    }
+
     /** Passes data on as a chunk without extensions, which the codec does not read. */
     private void passChunk(byte[] bytes, int from, int length) {
         passed.writeBytes(Integer.toHexString(length).getBytes(StandardCharsets.US_ASCII));
@@ -81,4 +98,14 @@
         passed.write(bytes, from, length);
         passed.writeBytes(END_OF_LINE);
     }
+
+    /** Tells whether the answer has arrived whole; one that ends with its connection never has. */
+    boolean isComplete() {
+        return framing != null && (chunks == null ? unchunkedBytesLeft == 0 : chunks.isComplete());
+    }
+
+    /** Tells whether the peer has sent more than the answer, so that the connection cannot be used any more. */
+    boolean hasBytesBehind() {
+        return hasBytesBehind;
+    }
 }
--- a/guavathread-router/src/main/java/org/guavathread/router/http/CloseDetectingTransportFilter.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/CloseDetectingTransportFilter.java
@@ -43,26 +43,24 @@
             return ctx.getStopAction();
         }
         bytes.flip();
-        ByteBuffer checked = pooled == null ? bytes : check(pooled, bytes);
-        if (!checked.hasRemaining()) {
+        HttpExchange exchange = pooled == null ? null : pooled.exchange();
+        if (exchange == null || pooled.answer().isComplete()) {
+            // The bytes belong to no request; the codec would take them for the beginning of the next answer.
+            ctx.getConnection().closeSilently();
             return ctx.getStopAction();
         }
-        ctx.setMessage(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, checked));
-        return ctx.getInvokeAction();
-    }
-
-    /** Returns the bytes for the codec; fails the exchange and closes the connection if they are no part of an answer. */
-    private static ByteBuffer check(PooledConnection pooled, ByteBuffer bytes) {
-        HttpExchange exchange = pooled.exchange();
-        if (exchange == null) {
-            return bytes;
-        }
+        ByteBuffer checked;
         try {
-            return pooled.answer().accept(bytes.array(), bytes.limit());
+            checked = pooled.answer().accept(bytes.array(), bytes.limit());
         } catch (MalformedMessageException e) {
             exchange.fail("the answer is malformed: " + e.getMessage(), e);
-            pooled.connection().closeSilently();
-            return ByteBuffer.allocate(0);
+            ctx.getConnection().closeSilently();
+            return ctx.getStopAction();
         }
+        if (!checked.hasRemaining()) {
+            return ctx.getStopAction();
+        }
+        ctx.setMessage(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, checked));
+        return ctx.getInvokeAction();
     }
 }
--- a/guavathread-router/src/main/java/org/guavathread/router/http/HttpExchange.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/HttpExchange.java
@@ -348,7 +348,11 @@
             }
             // A peer that answers before it has the request gets no more of it.
             boolean isCut = writeState == WriteState.WRITING && open.writtenBytes() < request.body().length;
-            reusable = !closed && !isCut && !completion.isCloseDelimited() && isKeepAlive(response);
+            reusable = !closed
+                    && !isCut
+                    && !completion.isCloseDelimited()
+                    && !open.answer().hasBytesBehind()
+                    && isKeepAlive(response);
             awaitsWrite = reusable && writeState == WriteState.WRITING;
             awaitingWriteCompletion = awaitsWrite;
             end();
--- a/guavathread-router/src/test/java/org/guavathread/router/http/MalformedAnswerTest.java
+++ b/guavathread-router/src/test/java/org/guavathread/router/http/MalformedAnswerTest.java
@@ -395,4 +395,33 @@
         assertAnswer(framedBy("X-A: 1\r\n"), true);
         assertAnswer(framedBy("Connection: close\r\n").replace("HTTP/1.1", "HTTP/1.0"), true);
     }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother",
+                "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: ",
+                "x",
+                "\r\n"
+            })
+    void bytesBehindAnAnswerBelongToNoRequest(String behind) throws Exception {
+        for (String answer : List.of(withLength(""), chunked("c\r\n" + BODY + "\r\n0\r\n\r\n"))) {
+            for (int pauseMillis : new int[] {0, 20}) {
+                ScriptedPeer peer = peer((head, out, socket) -> {
+                    if (pauseMillis == 0) {
+                        return ScriptedPeer.text(out, answer + behind);
+                    }
+                    ScriptedPeer.text(out, answer);
+                    Pieces.pause(pauseMillis);
+                    return ScriptedPeer.text(out, behind);
+                });
+                for (int i = 1; i <= 5; i++) {
+                    assertEquals(
+                            BODY, send(peer, "/" + i).get(20, TimeUnit.SECONDS).text());
+                    int ended = i;
+                    Polling.until("the connection is closed", () -> peer.endedConnections() == ended);
+                }
+            }
+        }
+    }
 }
