Read the framing of answers without patterns, and bound what its messages quote

Cause: AnswerFraming compiled several patterns for each answer, and the head was collected byte by byte; its messages could quote a value of kilobytes in a line of the log.

Change: heads are scanned by index and collected in one write; messages quote up to 40 characters.

--- a/guavathread-router/src/main/java/org/guavathread/router/http/AnswerFraming.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/AnswerFraming.java
@@ -1,9 +1,6 @@
 package org.guavathread.router.http;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Locale;
 import java.util.Set;
 
 /**
@@ -12,14 +9,17 @@
  */
 final class AnswerFraming {
 
-    private static final String CONTENT_LENGTH = "content-length";
-    private static final String TRANSFER_ENCODING = "transfer-encoding";
+    private static final String CONTENT_LENGTH = "Content-Length";
+    private static final String TRANSFER_ENCODING = "Transfer-Encoding";
     private static final String CHUNKED = "chunked";
     private static final String END_OF_LINE = "\r\n";
 
     /** Decimal digits of the longest length; more do not fit in a number of 64 bits. */
     private static final int MAX_LENGTH_DIGITS = 18;
 
+    /** Maximum length of a value in a message. */
+    private static final int MAX_EXCERPT_CHARACTERS = 40;
+
     private static final int MINOR_VERSION_INDEX = "HTTP/1.".length();
     private static final int STATUS_INDEX = "HTTP/1.1 ".length();
     private static final int STATUS_DIGITS = 3;
@@ -28,10 +28,12 @@
     private static final Set<String> STATUSES_WITHOUT_BODY = Set.of("204", "304");
 
     private final StringBuilder headWithoutFraming = new StringBuilder();
-    private final List<String> lengths = new ArrayList<>();
-    private final List<String> codings = new ArrayList<>();
     private final boolean isHttp10;
     private final boolean hasNoBody;
+    private boolean hasCoding;
+
+    /** Decimal digits without leading zeros; empty if the head names no length. */
+    private String length = "";
 
     /**
      * Reads a head.
@@ -40,72 +42,100 @@
      * @throws MalformedMessageException if it does not tell one end of the body
      */
     AnswerFraming(byte[] head) throws MalformedMessageException {
-        String[] lines = new String(head, StandardCharsets.ISO_8859_1).split(END_OF_LINE);
-        isHttp10 = lines[0].charAt(MINOR_VERSION_INDEX) == '0';
-        hasNoBody = STATUSES_WITHOUT_BODY.contains(lines[0].substring(STATUS_INDEX, STATUS_INDEX + STATUS_DIGITS));
-        keep(lines[0]);
-        for (int i = 1; i < lines.length; i++) {
-            readField(lines[i]);
+        String text = new String(head, StandardCharsets.ISO_8859_1);
+        isHttp10 = text.charAt(MINOR_VERSION_INDEX) == '0';
+        hasNoBody = STATUSES_WITHOUT_BODY.contains(text.substring(STATUS_INDEX, STATUS_INDEX + STATUS_DIGITS));
+        int from = text.indexOf(END_OF_LINE) + END_OF_LINE.length();
+        keep(text.substring(0, from));
+        for (int to; !text.startsWith(END_OF_LINE, from); from = to) {
+            to = text.indexOf(END_OF_LINE, from) + END_OF_LINE.length();
+            readField(text.substring(from, to));
         }
         check();
     }
 
     private void readField(String line) throws MalformedMessageException {
-        int colon = line.indexOf(':');
-        String value = line.substring(colon + 1).strip();
-        switch (line.substring(0, colon).toLowerCase(Locale.ROOT)) {
-            case CONTENT_LENGTH -> lengths.add(decimal(value));
-            case TRANSFER_ENCODING -> codings.add(value);
-            default -> keep(line);
+        if (isNamed(line, CONTENT_LENGTH)) {
+            readLength(valueOf(line));
+        } else if (isNamed(line, TRANSFER_ENCODING)) {
+            readCoding(valueOf(line));
+        } else {
+            keep(line);
+        }
+    }
+
+    private void readLength(String value) throws MalformedMessageException {
+        String read = decimal(value);
+        if (!length.isEmpty() && !length.equals(read)) {
+            throw new MalformedMessageException(
+                    "The answer has the different lengths " + length + " and " + read + ".");
+        }
+        length = read;
+    }
+
+    private void readCoding(String value) throws MalformedMessageException {
+        if (hasCoding || !CHUNKED.equalsIgnoreCase(value)) {
+            throw new MalformedMessageException(
+                    "The Transfer-Encoding \"" + excerpt(value) + "\" is not chunked, or not the only one.");
         }
+        hasCoding = true;
+    }
+
+    private static boolean isNamed(String line, String name) {
+        return line.startsWith(":", name.length()) && line.regionMatches(true, 0, name, 0, name.length());
+    }
+
+    private static String valueOf(String line) {
+        return line.substring(line.indexOf(':') + 1).strip();
     }
 
     private void keep(String line) {
-        headWithoutFraming.append(line).append(END_OF_LINE);
+        headWithoutFraming.append(line);
     }
 
     /** Returns a length without leading zeros. */
     private static String decimal(String value) throws MalformedMessageException {
-        String digits = value.replaceFirst("^0+(?=.)", "");
-        if (digits.length() > MAX_LENGTH_DIGITS || !digits.matches("[0-9]+")) {
+        int from = 0;
+        while (from < value.length() - 1 && value.charAt(from) == '0') {
+            from++;
+        }
+        String digits = value.substring(from);
+        if (digits.isEmpty()
+                || digits.length() > MAX_LENGTH_DIGITS
+                || !digits.chars().allMatch(c -> c >= '0' && c <= '9')) {
             throw new MalformedMessageException(
-                    "The Content-Length \"" + value + "\" is no decimal number of up to 18 digits.");
+                    "The Content-Length \"" + excerpt(value) + "\" is no decimal number of up to 18 digits.");
         }
         return digits;
     }
 
     private void check() throws MalformedMessageException {
-        if (lengths.stream().distinct().count() > 1) {
-            throw new MalformedMessageException("The answer has the different lengths " + lengths + ".");
-        }
-        if (codings.isEmpty()) {
-            return;
-        }
-        if (codings.size() > 1 || !CHUNKED.equalsIgnoreCase(codings.get(0))) {
-            throw new MalformedMessageException("The transfer coding is " + codings + ", not chunked alone.");
-        }
-        if (isHttp10) {
+        if (hasCoding && isHttp10) {
             throw new MalformedMessageException("The answer is one of HTTP/1.0, which has no transfer codings.");
         }
-        if (!lengths.isEmpty()) {
+        if (hasCoding && !length.isEmpty()) {
             throw new MalformedMessageException("The answer has both a length and a transfer coding.");
         }
     }
 
+    private static String excerpt(String value) {
+        return value.substring(0, Math.min(MAX_EXCERPT_CHARACTERS, value.length()));
+    }
+
     /** Returns the head with the framing in the only form that all parsers read alike. */
     byte[] canonicalHead() {
         StringBuilder head = new StringBuilder(headWithoutFraming);
         if (isChunked()) {
-            head.append("Transfer-Encoding: chunked\r\n");
-        } else if (!lengths.isEmpty()) {
-            head.append("Content-Length: ").append(lengths.get(0)).append(END_OF_LINE);
+            head.append(TRANSFER_ENCODING).append(": ").append(CHUNKED).append(END_OF_LINE);
+        } else if (!length.isEmpty()) {
+            head.append(CONTENT_LENGTH).append(": ").append(length).append(END_OF_LINE);
         }
         return head.append(END_OF_LINE).toString().getBytes(StandardCharsets.ISO_8859_1);
     }
 
     /** Tells whether chunks follow the head. */
     boolean isChunked() {
-        return !codings.isEmpty() && !hasNoBody;
+        return hasCoding && !hasNoBody;
     }
 
     /** Returns the length of a body that is not chunked, in bytes; the greatest number if it ends with the connection. */
@@ -113,6 +143,6 @@
         if (hasNoBody) {
             return 0;
         }
-        return lengths.isEmpty() ? Long.MAX_VALUE : Long.parseLong(lengths.get(0));
+        return length.isEmpty() ? Long.MAX_VALUE : Long.parseLong(length);
     }
 }
--- a/guavathread-router/src/main/java/org/guavathread/router/http/AnswerReader.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/http/AnswerReader.java
@@ -45,10 +45,7 @@
             return ByteBuffer.wrap(bytes, 0, acceptUnchunked(length));
         }
         passed.reset();
-        int at = 0;
-        while (at < length && framing == null) {
-            acceptHead(bytes[at++]);
-        }
+        int at = framing == null ? acceptHead(bytes, length) : 0;
         if (chunks != null) {
             acceptChunks(bytes, at, length);
         } else if (framing != null) {
@@ -57,22 +54,28 @@
         return ByteBuffer.wrap(passed.toByteArray());
     }
 
-    private void acceptHead(byte next) throws MalformedMessageException {
-        if (head.size() == maxHeadBytes) {
-            throw new MalformedMessageException("The head of the answer exceeds " + maxHeadBytes + " bytes.");
-        }
-        head.write(next);
-        if (statusLine.isComplete()) {
-            fields.accept(next);
-        } else {
-            statusLine.accept(next);
+    /** Returns the index after the last byte that belongs to the head. */
+    private int acceptHead(byte[] bytes, int length) throws MalformedMessageException {
+        int limit = Math.min(length, maxHeadBytes - head.size());
+        int at = 0;
+        while (at < limit && !fields.isComplete()) {
+            byte next = bytes[at++];
+            if (statusLine.isComplete()) {
+                fields.accept(next);
+            } else {
+                statusLine.accept(next);
+            }
         }
+        head.write(bytes, 0, at);
         if (fields.isComplete()) {
             framing = new AnswerFraming(head.toByteArray());
             passed.writeBytes(framing.canonicalHead());
             chunks = framing.isChunked() ? new ChunkedBody(this::passChunk) : null;
             unchunkedBytesLeft = framing.unchunkedLength();
+        } else if (at < length) {
+            throw new MalformedMessageException("The head of the answer exceeds " + maxHeadBytes + " bytes.");
         }
+        return at;
     }
 
     /** Returns how many of the bytes that have arrived belong to a body without chunks. */
