Keep a stream at its silent engine until another one has room for it

What callers saw: a stream was cut midway, or answered 502 before its first event, though its engine would have gone on. That this is what the users saw is not shown.

Cause: when the events of a resumable stream stayed away, the host ended the run first and looked for an engine, a reservation and a retry afterwards. Engines preempt requests when their memory is full, so others are likely full as well; then the stream waited for room until it was given up. A resource was given back before its successor was certain.

Change: EngineHandover secures the process of the other engine, its permits, a reservation and a retry while the run goes on; only then is the run ended and the stream continued there. If an event arrives meanwhile, or something cannot be had, the stream stays where it is and the engine is looked for again later. ReservationRequest is the reservation of StreamCall, moved.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineResources.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineResources.java
@@ -25,6 +25,9 @@
     private Optional<PrefillResult> prefillResult = Optional.empty();
     private Optional<EngineReservation> reservation = Optional.empty();
 
+    /** A reservation for the case that a running stream goes on at another engine. */
+    private Optional<EngineReservation> spare = Optional.empty();
+
     EngineResources(GatewayContext context, EngineTerms engineTerms, BackendClient backendClient) {
         this.context = context;
         this.backendClient = backendClient;
@@ -66,6 +69,17 @@
         reservation = Optional.of(reserved);
     }
 
+    void keepSpare(EngineReservation reserved) {
+        spare = Optional.of(reserved);
+    }
+
+    /** Makes the spare reservation the one of the next run. */
+    void useSpare() {
+        releaseReservation();
+        reservation = spare;
+        spare = Optional.empty();
+    }
+
     void keep(PrefillResult result) {
         prefillResult = Optional.of(result);
     }
@@ -106,6 +120,7 @@
     void releaseUnused() {
         freeKvCache();
         releaseReservation();
+        releaseSpare();
     }
 
     private void freeKvCache() {
@@ -115,13 +130,22 @@
     }
 
     void releaseReservation() {
-        reservation
-                .filter(r -> now() < r.expiresAtMillis())
-                .ifPresent(
-                        r -> sendAndForget(r.engine(), context.backendProtocol().releaseReservation(r)));
+        reservation.ifPresent(this::release);
         reservation = Optional.empty();
     }
 
+    void releaseSpare() {
+        spare.ifPresent(this::release);
+        spare = Optional.empty();
+    }
+
+    /** Releases a reservation unless it has expired. */
+    void release(EngineReservation reserved) {
+        if (now() < reserved.expiresAtMillis()) {
+            sendAndForget(reserved.engine(), context.backendProtocol().releaseReservation(reserved));
+        }
+    }
+
     /** Gives something back; if that fails, or the engine is to be spared, it expires soon. */
     private void sendAndForget(Worker engine, HttpRequest request) {
         if (!context.isSpared(engine, now())) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineRun.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineRun.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 
+import org.guavathread.core.dispatch.EnginePlan;
 import org.guavathread.core.registry.Worker;
 import org.guavathread.core.stream.EventFramer;
 import org.guavathread.gateway.protocol.AnswerMeaning;
@@ -210,8 +211,24 @@
         dropped(reason);
     }
 
+    /** Ends a run whose events stay away, since its stream can go on at another engine at once. */
+    void handOver(EnginePlan next) {
+        call.context.health().unreachable(worker.id(), call.now());
+        end("stalled");
+        call.goOn(next);
+    }
+
     /** Handles an answer that the caller must not get, though the engine may be sound, as a failed run otherwise. */
     void dropped(String reason) {
+        end(reason);
+        if (call.mayRunOnceMore() && !call.isCrashSuspect() && call.takeRetry()) {
+            call.place();
+        } else {
+            call.giveUp("The engine broke off: " + reason);
+        }
+    }
+
+    private void end(String reason) {
         finished = true;
         if (head == null) {
             call.countRun();
@@ -226,10 +243,5 @@
                 .with("parts", call.promptPartIds())
                 .write();
         call.context.metrics().sent("run", "BROKEN");
-        if (call.mayRunOnceMore() && !call.isCrashSuspect() && call.takeRetry()) {
-            call.place();
-        } else {
-            call.giveUp("The engine broke off: " + reason);
-        }
     }
 }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StallWatch.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StallWatch.java
@@ -1,7 +1,10 @@
 package org.guavathread.gateway.call;
 
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
+import org.guavathread.core.dispatch.EnginePlan;
 import org.guavathread.core.stream.StreamProgress;
 import org.guavathread.gateway.loop.EventLoop;
 
@@ -11,9 +14,22 @@
     /** Delay before another engine is looked for again. */
     private static final long RETRY_MILLIS = 250;
 
+    /** Looks for another engine. */
+    @FunctionalInterface
+    interface EngineSearch {
+
+        /**
+         * Looks for an engine at which the stream can go on at once.
+         *
+         * @param isWanted whether the events still stay away
+         * @param onDone receives the engine, at which all is secured then; empty if the stream stays where it is
+         */
+        void begin(BooleanSupplier isWanted, Consumer<Optional<EnginePlan>> onDone);
+    }
+
     private final EventLoop loop;
     private final StreamProgress progress;
-    private final Consumer<Consumer<Boolean>> engineSearch;
+    private final EngineSearch search;
     private EventLoop.Timer timer;
 
     /**
@@ -21,12 +37,12 @@
      *
      * @param loop source of the time
      * @param progress decides when a run counts as stalled
-     * @param engineSearch finds out whether another engine can continue the stream
+     * @param search looks for another engine that can continue the stream
      */
-    StallWatch(EventLoop loop, StreamProgress progress, Consumer<Consumer<Boolean>> engineSearch) {
+    StallWatch(EventLoop loop, StreamProgress progress, EngineSearch search) {
         this.loop = loop;
         this.progress = progress;
-        this.engineSearch = engineSearch;
+        this.search = search;
     }
 
     /** Starts to watch a run. */
@@ -53,11 +69,11 @@
             return;
         }
         EventLoop.Timer searchedAt = timer;
-        engineSearch.accept(isFound -> {
-            boolean isStillStalled = !run.isFinished() && timer == searchedAt;
-            if (isStillStalled && isFound) {
-                run.failed("stalled", true);
-            } else if (isStillStalled) {
+        BooleanSupplier isStillStalled = () -> !run.isFinished() && timer == searchedAt;
+        search.begin(isStillStalled, next -> {
+            if (next.isPresent()) {
+                run.handOver(next.get());
+            } else if (isStillStalled.getAsBoolean()) {
                 schedule(Math.min(progress.endsAtMillis(), loop.nowMillis() + RETRY_MILLIS), run);
             }
         });
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import org.guavathread.core.dispatch.CallerCost;
@@ -32,9 +31,6 @@
  */
 final class StreamCall extends Call {
 
-    /** Timeout of a reservation call. The call is small, so an engine that takes longer is considered unhealthy. */
-    private static final long RESERVE_TIMEOUT_MILLIS = 400;
-
     /** Age up to which a permit is used: with the transit, grants count for 500 ms longer than the arrivals. */
     private static final long MAX_PERMIT_AGE_MILLIS = 300;
 
@@ -47,6 +43,7 @@
     private final CapacityQueue capacityQueue;
     private final Set<BackendServerId> fullEngines = new HashSet<>();
     private final EngineResources resources;
+    private final ReservationRequest reservations;
     private final EngineSelection selection;
     private final Supplier<Refusal> drainRefusal;
     private final StreamOrigin origin;
@@ -77,18 +74,19 @@
         this.drainRefusal = drainRefusal;
         this.origin = new StreamOrigin(context, admitted, origins, processCheck);
         this.processCheck = processCheck;
+        this.capacityQueue = capacityQueue;
+        this.backendClient = backendClient;
+        this.engineTerms = engineTerms;
+        this.work = work;
+        this.resources = new EngineResources(context, engineTerms, backendClient);
+        this.reservations = new ReservationRequest(this, engineTerms, work, backendClient, resources);
         this.stallWatch = new StallWatch(
                 context.loop(),
                 new StreamProgress(
                         admitted.rule().targetMillis(),
                         admitted.rule().maxPauseMillis(),
                         admitted.rule().mayRunAgain()),
-                this::findEngineToResume);
-        this.capacityQueue = capacityQueue;
-        this.backendClient = backendClient;
-        this.engineTerms = engineTerms;
-        this.work = work;
-        this.resources = new EngineResources(context, engineTerms, backendClient);
+                new EngineHandover(this, processCheck, reservations, resources));
         this.selection = new EngineSelection(context, engineTerms, admitted);
         this.lastEventId = request().lastEventId();
     }
@@ -235,23 +233,22 @@
                 isUnopened ? resources.prefilledVersion() : Optional.empty());
     }
 
-    /** Finds out whether a stream whose events stay away can go on at another engine; until then it keeps its own. */
-    private void findEngineToResume(Consumer<Boolean> onDone) {
-        if (!mayRunOnceMore() || !origin.isSettled() || untried().isEmpty()) {
-            onDone.accept(false);
-            return;
-        }
-        if (!isContinuation()) {
-            onDone.accept(true);
-            return;
-        }
-        Worker engine = plan().map(EnginePlan::decode).orElse(untried().get(0));
-        processCheck.ask(engine, outcome -> {
-            if (!outcome.isConfirmed()) {
-                fullEngines.add(engine.id());
-            }
-            onDone.accept(outcome.isConfirmed());
-        });
+    /** Returns an engine at which the stream can go on if its events stay away; none if it may not go on elsewhere. */
+    Optional<EnginePlan> planToGoOn() {
+        return mayRunOnceMore() && origin.isSettled() ? plan() : Optional.empty();
+    }
+
+    /** Leaves an engine out until the request has waited for room. */
+    void exclude(Worker engine) {
+        fullEngines.add(engine.id());
+    }
+
+    /** Continues the stream at an engine at which a handover has secured what it needs. */
+    void goOn(EnginePlan plan) {
+        permittedAtMillis = now();
+        resources.useSpare();
+        resources.addRunLoad(plan.decode().id(), work.promptTokens(), work.occupiedTokens());
+        generate(plan.decode(), plan.expectedMillis());
     }
 
     private void placeOnceSettled(Optional<SoftwareVersion> began) {
@@ -295,7 +292,7 @@
     }
 
     /** Returns whether the caller has received the first events, in this answer or in an earlier one. */
-    private boolean isContinuation() {
+    boolean isContinuation() {
         return out != null || request().lastEventId().isPresent();
     }
 
@@ -347,38 +344,16 @@
             // Counts the prefill now rather than on confirmation of the reservation, so that other placements see it.
             resources.addPrefillLoad(plan.prefill().get().id(), work.promptTokens());
         }
-        long expiresAtMillis = now() + engineTerms.reserveMillis();
-        setBackendCall(backendClient.send(
+        setBackendCall(reservations.send(
                 decode,
-                context.backendProtocol()
-                        .reserve(
-                                decode, work.heldTokens(), engineTerms.reserveMillis(), now() + RESERVE_TIMEOUT_MILLIS),
-                answer -> {
-                    Optional<EngineReservation> got =
-                            context.backendProtocol().reservationOf(decode, answer, expiresAtMillis);
-                    got.ifPresent(resources::keep);
-                    if (isEnded()) {
-                        resources.releaseUnused();
-                    } else if (got.isPresent()) {
-                        context.health().reserved(decode.id());
-                        context.metrics().sent("reserve", "RAN");
-                        clearBackendCall();
-                        onReserved(plan, separatePrefill);
-                    } else {
-                        // The load of this request must not count when the refusal is judged.
-                        resources.removeLoad();
-                        if (!isPaused(decode)) {
-                            context.engineDispatch().refused(decode, work, engineTerms.memoryTokens(), now());
-                        }
-                        reservationFailed(decode, "status " + answer.status());
-                    }
+                got -> {
+                    resources.keep(got);
+                    clearBackendCall();
+                    onReserved(plan, separatePrefill);
                 },
-                failure -> {
-                    if (!isEnded()) {
-                        recordLost(decode, failure);
-                        reservationFailed(decode, failure.getMessage());
-                    }
-                }));
+                // The load of this request must not count when the refusal is judged.
+                resources::removeLoad,
+                reason -> reservationFailed(decode, reason)));
     }
 
     private void reservationFailed(Worker decode, String reason) {
