Log the requests that the end of a process leaves without a whole answer

The line "stop" had one count, of requests in progress; whether a request was arriving, in progress or written in part when the process ended could not be told. PlannedStop is the stop of Gateway, moved; what it does is unchanged, but that a request that waits for the one before it on its connection counts as arriving.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -77,24 +77,11 @@
     /** Interval at which store calls, readiness, engine roles and entry answers are checked and updated. */
     private static final long TICK_MILLIS = 100;
 
-    /** Minimum drain time after SIGTERM. Callers cache entry answers, so new requests keep arriving for this long. */
-    private static final long MIN_DRAIN_MILLIS = 2_500;
-
-    /** Time reserved between the end of the drain and the forced end of the process. */
-    private static final long END_MARGIN_MILLIS = 900;
-
-    /** Time reserved before the end of the drain for the answers of requests that end at their deadline. */
-    private static final long ANSWER_MARGIN_MILLIS = 100;
-
-    /** Time after the listening socket has closed in which requests that are in transit are refused as not run. */
-    private static final long REFUSE_IN_TRANSIT_MILLIS = 200;
-
     /** Maximum head of a request of another host, which contains that of a caller. */
     private static final int MAX_PEER_HEAD_BYTES = 64 * 1024;
 
     private static final int PEER_HEAD_MILLIS = 3_000;
     private static final int PEER_IDLE_MILLIS = 15_000;
-    private static final long DRAIN_POLL_MILLIS = 50;
 
     /** Maximum duration of the warm-up of a host that starts again. */
     private static final long WARM_UP_MILLIS = 3_000;
@@ -119,7 +106,7 @@
     private final StateSynchroniser stateSynchroniser;
     private final RoleCoordinator roleCoordinator;
     private final DepartureCheck departureCheck;
-    private final CallerServer callerServer;
+    private final Servers servers;
     private final WarmUp warmUp;
     private final long startedAtMillis;
     private volatile boolean leaving;
@@ -214,11 +201,14 @@
         supervisor.add(context.log());
         supervisor.add(context.loop());
         supervisor.add(socket[0]);
-        this.callerServer = addServers(platform);
+        this.servers = addServers(platform);
         supervisor.add(warmUp);
     }
 
-    private CallerServer addServers(Platform platform) {
+    /** The servers whose requests need the event loop. */
+    private record Servers(CallerServer callers, CallerServer peers) {}
+
+    private Servers addServers(Platform platform) {
         PauseDetector pauses = supervisor.add(new PauseDetector(clock));
         RequestIds ids = new RequestIds(settings.hostId(), new Incarnation(startedAtMillis));
         CallerServer callers =
@@ -227,7 +217,7 @@
         supervisor.add(new PageServer("ready", settings.listenReady(), platform.readyPages(entry)));
         supervisor.add(new PageServer(
                 "entry", settings.listenEntry(), platform.entryPages(entry, settings.entryLifetimeSeconds())));
-        PeerServer peers = new PeerServer(
+        PeerServer pages = new PeerServer(
                 context.loop(),
                 Map.of(
                         StateRelay.PATH,
@@ -240,7 +230,7 @@
                         OriginRelay.PATH,
                         query -> origins.answer(OriginRelay.attemptOf(query))),
                 relay::accept);
-        supervisor.add(new CallerServer(settings.listenPeers(), ids, clock, pauses, peers::accept)
+        CallerServer peers = supervisor.add(new CallerServer(settings.listenPeers(), ids, clock, pauses, pages::accept)
                 .named("peers")
                 .bounds(() -> new CallerBounds(
                         MAX_PEER_HEAD_BYTES, callerBounds.maxBodyBytes(), PEER_HEAD_MILLIS, PEER_IDLE_MILLIS)));
@@ -252,7 +242,7 @@
                         query -> new PageServer.Page(
                                 200, "text/plain", context.metrics().text()))));
         addGauges();
-        return callers;
+        return new Servers(callers, peers);
     }
 
     private void addGauges() {
@@ -435,52 +425,15 @@
      */
     public void drain() {
         leaving = true;
-        long drainStartedAtMillis = clock.nowMillis();
-        long endAtMillis = drainStartedAtMillis + settings.drainMillis() - END_MARGIN_MILLIS;
-        context.log().entry("stop").with("outcome", "leaving").write();
-        context.loop().execute(() -> {
-            context.drain().begin(endAtMillis - ANSWER_MARGIN_MILLIS);
-            reporter.phase(HostPhase.LEAVING);
-            relay.stopAccepting();
-            step();
-        });
-        awaitIdle(drainStartedAtMillis + MIN_DRAIN_MILLIS, endAtMillis);
-        // Requests that are in transit now were accepted by the operating system; they are refused, not cut off.
-        callerServer.stopAccepting();
-        context.loop().execute(() -> {
-            context.drain().refuseAll();
-            router.endUnfinished();
-        });
-        long transitEndMillis = clock.nowMillis() + REFUSE_IN_TRANSIT_MILLIS;
-        awaitIdle(transitEndMillis, Math.max(transitEndMillis, endAtMillis));
-        context.log()
-                .entry("stop")
-                .with("outcome", "ended")
-                .with("unfinished", inProgress(-1))
-                .with("millis", clock.nowMillis() - drainStartedAtMillis)
-                .write();
+        new PlannedStop(context, clock, servers.callers(), router, () -> inProgress(1))
+                .run(settings.drainMillis(), () -> {
+                    reporter.phase(HostPhase.LEAVING);
+                    relay.stopAccepting();
+                    step();
+                });
         context.log().stop();
     }
 
-    /** Waits until no request is in progress, but until the first time at least and the second one at most. */
-    private void awaitIdle(long fromMillis, long untilMillis) {
-        while (clock.nowMillis() < untilMillis) {
-            boolean idle = callerServer.receiving() == 0 && inProgress(1) == 0;
-            if (idle && clock.nowMillis() >= fromMillis) {
-                return;
-            }
-            pause();
-        }
-    }
-
-    private static void pause() {
-        try {
-            Thread.sleep(DRAIN_POLL_MILLIS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     @Override
     public void stop() {
         supervisor.stop();
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/CallerServer.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/CallerServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -141,13 +142,33 @@
         }
     }
 
+    /** How far a request has come. */
+    public enum RequestStep {
+        /** Its head has arrived and its body has not, or it waits for the one before it on its connection. */
+        ARRIVING,
+        /** It has arrived whole, and its answer has not been handed over to its end. */
+        IN_PROGRESS,
+        /** Its answer has been handed over, and a part of it is not written yet, since the caller reads slowly. */
+        BEING_WRITTEN
+    }
+
+    /**
+     * A request to which something is owed.
+     *
+     * @param caller address of the caller
+     * @param target path and query; empty while the request is arriving
+     * @param step how far it has come
+     * @param unwrittenBytes bytes of answers that the operating system has not taken yet
+     */
+    public record Unfinished(String caller, String target, RequestStep step, int unwrittenBytes) {}
+
     /**
-     * Returns the number of requests that have begun to arrive and are not complete.
+     * Returns the requests that have begun to arrive and whose answers the operating system has not taken whole.
      *
-     * @return requests whose body is being received
+     * @return one for each connection that has some
      */
-    public int receiving() {
-        return receiver.receiving();
+    public List<Unfinished> unfinished() {
+        return receiver.unfinished();
     }
 
     private void expire() {
--- a/guavathread-router/src/main/java/org/guavathread/router/caller/RequestReceiver.java
+++ b/guavathread-router/src/main/java/org/guavathread/router/caller/RequestReceiver.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -27,10 +28,12 @@
 import org.glassfish.grizzly.http.util.HttpStatus;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
+import org.glassfish.grizzly.nio.NIOConnection;
 import org.guavathread.core.request.Refusal;
 import org.guavathread.core.request.RefusalCode;
 import org.guavathread.core.routing.CallerBounds;
 import org.guavathread.core.time.Clock;
+import org.guavathread.router.caller.CallerServer.RequestStep;
 import org.tinylog.Logger;
 
 /**
@@ -115,6 +118,15 @@
             return Optional.of(passed);
         }
 
+        /** Returns how far the request has come whose answer has not been handed over, if there is one. */
+        private Optional<RequestStep> step() {
+            if (phase == Phase.PASSING || phase == Phase.SERVING) {
+                return Optional.of(RequestStep.IN_PROGRESS);
+            }
+            boolean isArriving = phase == Phase.RECEIVING && (receivingBody || !pending.isEmpty());
+            return isArriving ? Optional.of(RequestStep.ARRIVING) : Optional.empty();
+        }
+
         private void beginNext() {
             phase = Phase.RECEIVING;
             passed = null;
@@ -316,11 +328,21 @@
         }
     }
 
-    /** Returns the number of requests whose head has arrived and whose body has not. */
-    int receiving() {
-        return (int) openConnections.stream()
-                .filter(c -> inputs.get(c).receivingBody)
-                .count();
+    /** Returns the requests that have begun to arrive and whose answers the operating system has not taken whole. */
+    List<CallerServer.Unfinished> unfinished() {
+        return openConnections.stream().flatMap(c -> unfinished(c).stream()).toList();
+    }
+
+    private Optional<CallerServer.Unfinished> unfinished(Connection<?> connection) {
+        Input input = inputs.get(connection);
+        int unwritten = ((NIOConnection) connection).getAsyncWriteQueue().spaceInBytes();
+        synchronized (input) {
+            String target = input.passed == null ? "" : input.passed.target();
+            return input.step()
+                    .or(() -> unwritten > 0 ? Optional.of(RequestStep.BEING_WRITTEN) : Optional.empty())
+                    .map(step -> new CallerServer.Unfinished(
+                            String.valueOf(connection.getPeerAddress()), target, step, unwritten));
+        }
     }
 
     void expire(long nowMillis) {
