Let requests go on that were admitted as a stopping host seemed idle

What callers saw: 504 for a request that a server was running, or a cut stream, some 2.5 s after SIGTERM and seconds before the end of the grace time.

Cause: a host that stops ends once no request is in progress. Between that look and the moment from which requests are refused it admitted further ones, which were then ended at once as if the time were up. The less processor time a host gets, the longer that gap.

Change: DrainProgress decides how far a stop has come: from the first idle moment on requests are refused, those admitted until then go on for as long as the process can wait for them, and only then is the rest ended.

Evidence: StopOfBusyHostTest holds the stopping thread up at that moment: 504 before, while the server ran the request; after the change the request is served or refused as not run. DrainProgressTest, PlannedStopTest hold.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/PlannedStop.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/PlannedStop.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.function.IntSupplier;
 
+import org.guavathread.core.dispatch.DrainProgress;
+import org.guavathread.core.dispatch.DrainProgress.Step;
 import org.guavathread.core.time.Clock;
 import org.guavathread.gateway.call.GatewayContext;
 import org.guavathread.gateway.call.RequestRouter;
@@ -13,15 +15,6 @@
 
     private static final long POLL_MILLIS = 50;
 
-    /** Minimum drain time after SIGTERM. Callers cache entry answers, so new requests keep arriving for this long. */
-    private static final long MIN_DRAIN_MILLIS = 2_500;
-
-    /** Time reserved between the end of the drain and the forced end of the process. */
-    private static final long END_MARGIN_MILLIS = 900;
-
-    /** Time after the listening socket has closed in which requests that are in transit are refused as not run. */
-    private static final long REFUSE_IN_TRANSIT_MILLIS = 200;
-
     /** Time reserved before requests in progress are ended for the answers of those that end at their deadline. */
     private static final long ANSWER_MARGIN_MILLIS = 100;
 
@@ -60,33 +53,36 @@
      */
     void run(long graceMillis, Runnable onLeaving) {
         long startedAtMillis = clock.nowMillis();
-        long endAtMillis = startedAtMillis + graceMillis - END_MARGIN_MILLIS;
+        DrainProgress progress = new DrainProgress(startedAtMillis, startedAtMillis + graceMillis);
         context.log().entry("stop").with("outcome", "leaving").write();
         context.loop().execute(() -> {
-            context.drain().begin(endAtMillis - ANSWER_MARGIN_MILLIS);
+            context.drain().begin(progress.runsEndAtMillis() - ANSWER_MARGIN_MILLIS);
             onLeaving.run();
         });
-        awaitIdle(startedAtMillis + MIN_DRAIN_MILLIS, endAtMillis);
-        // Requests that are in transit now were accepted by the operating system; they are refused, not cut off.
-        callers.stopAccepting();
-        context.loop().execute(() -> {
-            context.drain().refuseAll();
-            router.endUnfinished();
-        });
-        long transitEndMillis = clock.nowMillis() + REFUSE_IN_TRANSIT_MILLIS;
-        awaitIdle(transitEndMillis, Math.max(transitEndMillis, endAtMillis));
+        Step step = Step.ADMITTING;
+        while (step != Step.ENDED) {
+            pause();
+            Step next = progress.step(clock.nowMillis(), unfinished());
+            if (next != step) {
+                enter(next, progress);
+            }
+            step = next;
+        }
         logEnd(clock.nowMillis() - startedAtMillis);
     }
 
-    /** Waits until no request is in progress, but until the first time at least and the second one at most. */
-    private void awaitIdle(long fromMillis, long untilMillis) {
-        while (clock.nowMillis() < untilMillis) {
-            boolean idle = unfinished() == 0;
-            if (idle && clock.nowMillis() >= fromMillis) {
-                return;
-            }
-            pause();
+    private void enter(Step step, DrainProgress progress) {
+        if (step == Step.REFUSING) {
+            callers.stopAccepting();
+            context.loop().execute(() -> context.drain().refuseAll());
+        } else if (step == Step.CUTTING) {
+            context.loop().execute(router::endUnfinished);
         }
+        context.log()
+                .entry("stop")
+                .with("outcome", step)
+                .with("unfinished", unfinished())
+                .write();
     }
 
     /** Returns the requests that are arriving or in progress. */
