Begin and end a stop though the inbox of the event loop is full

What callers saw: a host that got SIGTERM while its event loop was behind went on as if nothing had happened: it admitted streams that could not end before the process did, and cut them at its end.

Cause: the steps of a stop are tasks of the event loop, whose inbox refuses tasks when it is full; nobody looked at the answer.

Change: PlannedStop offers such a task until it is taken, and waits until it has been carried out.

Evidence: StopOfBusyHostTest.stopBeginsThoughTheInboxOfTheEventLoopIsFull holds the event loop, fills its inbox and stops the host: before, a stream that takes longer than the grace time ran; after, it is refused as not run. PlannedStopTest holds.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/PlannedStop.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/PlannedStop.java
@@ -1,6 +1,10 @@
 package org.guavathread.gateway;
 
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.IntSupplier;
 
 import org.guavathread.core.dispatch.DrainProgress;
@@ -9,6 +13,7 @@
 import org.guavathread.gateway.call.GatewayContext;
 import org.guavathread.gateway.call.RequestRouter;
 import org.guavathread.router.caller.CallerServer;
+import org.tinylog.Logger;
 
 /** Stops the daemon: whatever it has read or passed on gets its whole answer or a refusal before the process ends. */
 final class PlannedStop {
@@ -55,7 +60,7 @@
         long startedAtMillis = clock.nowMillis();
         DrainProgress progress = new DrainProgress(startedAtMillis, startedAtMillis + graceMillis);
         context.log().entry("stop").with("outcome", "leaving").write();
-        context.loop().execute(() -> {
+        runOnLoop(progress.runsEndAtMillis(), () -> {
             context.drain().begin(progress.runsEndAtMillis() - ANSWER_MARGIN_MILLIS);
             onLeaving.run();
         });
@@ -74,9 +79,9 @@
     private void enter(Step step, DrainProgress progress) {
         if (step == Step.REFUSING) {
             callers.stopAccepting();
-            context.loop().execute(() -> context.drain().refuseAll());
+            runOnLoop(progress.runsEndAtMillis(), () -> context.drain().refuseAll());
         } else if (step == Step.CUTTING) {
-            context.loop().execute(router::endUnfinished);
+            runOnLoop(progress.endsAtMillis(), router::endUnfinished);
         }
         context.log()
                 .entry("stop")
@@ -93,6 +98,28 @@
         return (int) arriving + inProgress.getAsInt();
     }
 
+    /** Runs a task on the event loop's thread and waits for it; a full inbox is tried again. */
+    private void runOnLoop(long untilMillis, Runnable task) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        Runnable confirmed = () -> {
+            try {
+                task.run();
+            } finally {
+                done.complete(null);
+            }
+        };
+        while (!context.loop().execute(confirmed) && clock.nowMillis() < untilMillis) {
+            pause();
+        }
+        try {
+            done.get(Math.max(0, untilMillis - clock.nowMillis()), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            Logger.error("The event loop has not carried out a step of the stop in time.");
+        }
+    }
+
     private void logEnd(long millis) {
         List<CallerServer.Unfinished> cut = callers.unfinished();
         cut.stream()
