Wait at a stop until answers are written, not only handed over

What callers saw: a connection that closed within an answer if they read slowly while their host stopped, although the server had answered in full and seconds of the grace time were left.

Cause: a request ended for the stop with its last byte in the hands of the network library; what that still held went with the process.

Change: a stop waits for all requests to which something is owed, of callers and of other hosts: those that arrive, those that are between the network threads and the event loop, those in progress, and those whose answers the operating system has not taken whole.

Evidence: SlowCallerAtStopTest, a process that gets SIGTERM while its caller pauses for 5 s within 4,000,000 bytes: 2,954,717 bytes arrived before, all of them after. PlannedStopTest, StopOfBusyHostTest hold.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -425,7 +425,7 @@
      */
     public void drain() {
         leaving = true;
-        new PlannedStop(context, clock, servers.callers(), router, () -> inProgress(1))
+        new PlannedStop(context, clock, servers.callers(), servers.peers(), router, () -> inProgress(1))
                 .run(settings.drainMillis(), () -> {
                     reporter.phase(HostPhase.LEAVING);
                     relay.stopAccepting();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/PlannedStop.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/PlannedStop.java
@@ -29,6 +29,7 @@
     private final GatewayContext context;
     private final Clock clock;
     private final CallerServer callers;
+    private final CallerServer peers;
     private final RequestRouter router;
     private final IntSupplier inProgress;
 
@@ -38,14 +39,21 @@
      * @param context components shared by all requests
      * @param clock source of the time
      * @param callers the server for callers
+     * @param peers the server for other hosts
      * @param router the requests in progress; used on the event loop's thread only
      * @param inProgress counts requests in progress; at least 1 if the number is not known
      */
     PlannedStop(
-            GatewayContext context, Clock clock, CallerServer callers, RequestRouter router, IntSupplier inProgress) {
+            GatewayContext context,
+            Clock clock,
+            CallerServer callers,
+            CallerServer peers,
+            RequestRouter router,
+            IntSupplier inProgress) {
         this.context = context;
         this.clock = clock;
         this.callers = callers;
+        this.peers = peers;
         this.router = router;
         this.inProgress = inProgress;
     }
@@ -90,12 +98,9 @@
                 .write();
     }
 
-    /** Returns the requests that are arriving or in progress. */
+    /** Returns the requests, of callers and of other hosts, to which something is still owed. */
     private int unfinished() {
-        long arriving = callers.unfinished().stream()
-                .filter(each -> each.step() == CallerServer.RequestStep.ARRIVING)
-                .count();
-        return (int) arriving + inProgress.getAsInt();
+        return callers.unfinished().size() + peers.unfinished().size() + inProgress.getAsInt();
     }
 
     /** Runs a task on the event loop's thread and waits for it; a full inbox is tried again. */
