Admit streams at a stopping host by how long recent ones took

What callers saw: streams that were sent seconds after SIGTERM were admitted, ran, and were cut 7 s after it.

Cause: a stopping host admits a stream if twice its expected time is left. The expectation took the route's target for the time to the first event and the mean pace of recent answers. On busy engines the first event comes seconds later than the target, and nothing told the host.

Change: AnswerDurationEstimator also remembers the largest recent ratio of the time that a request took to its estimate; it fades with further answers. The admission, and the look before a stream is placed, count with a request that fares as badly.

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/AnswerDurationEstimator.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/AnswerDurationEstimator.java
@@ -9,8 +9,14 @@
     /** Estimate before the first answer: one decode step of an engine whose batch is half full. */
     private static final double INITIAL_MILLIS_PER_TOKEN = 8;
 
+    /** Fraction of an overrun that is left after the next answer, so that overload is forgotten within some dozen answers. */
+    private static final double OVERRUN_FADING = 0.98;
+
     private double millisPerToken = INITIAL_MILLIS_PER_TOKEN;
 
+    /** Largest recent ratio of the time that a request took to its estimate; at least 1. */
+    private double overrun = 1;
+
     /**
      * Records a completed answer.
      *
@@ -23,6 +29,18 @@
         }
     }
 
+    /**
+     * Records how long a request took in all: on busy engines it may wait much longer for its first event than the target.
+     *
+     * @param targetMillis target latency of the first event
+     * @param maxTokens maximum number of tokens of the answer
+     * @param millis time from the request's arrival to its last event
+     */
+    public void recordRequest(long targetMillis, int maxTokens, long millis) {
+        double ratio = millis / (double) Math.max(1, expectedRequestMillis(targetMillis, maxTokens));
+        overrun = Math.max(ratio, 1 + (overrun - 1) * OVERRUN_FADING);
+    }
+
     /**
      * Estimates the duration of an answer.
      *
@@ -44,6 +62,17 @@
         return targetMillis + expectedMillis(expectedTokens);
     }
 
+    /**
+     * Estimates the time from now to the last event for a request that fares as badly as recent ones did.
+     *
+     * @param targetMillis target latency of the first event
+     * @param maxTokens maximum number of tokens of the answer
+     * @return milliseconds
+     */
+    public long longestRequestMillis(long targetMillis, int maxTokens) {
+        return (long) (overrun * expectedRequestMillis(targetMillis, maxTokens));
+    }
+
     /**
      * Returns the latest time after which a refused caller can retry and still get its whole answer before its
      * deadline.
--- a/guavathread-core/src/test/java/org/guavathread/core/dispatch/AnswerDurationEstimatorTest.java
+++ b/guavathread-core/src/test/java/org/guavathread/core/dispatch/AnswerDurationEstimatorTest.java
@@ -26,4 +26,18 @@
         assertEquals(3_100, estimator.latestRetryMillis(11_000, 2_700, 650));
         assertEquals(0, estimator.latestRetryMillis(7_000, 2_700, 1_000));
     }
+
+    @Test
+    void requestsThatTookLongerThanExpectedAreRemembered() {
+        AnswerDurationEstimator estimator = new AnswerDurationEstimator();
+        assertEquals(560, estimator.longestRequestMillis(400, 20));
+        estimator.recordRequest(400, 20, 300);
+        assertEquals(560, estimator.longestRequestMillis(400, 20));
+        estimator.recordRequest(400, 20, 2_240);
+        assertEquals(2_240, estimator.longestRequestMillis(400, 20));
+        for (int i = 0; i < 50; i++) {
+            estimator.recordRequest(400, 20, 300);
+        }
+        assertEquals(1_170, estimator.longestRequestMillis(400, 20), 50);
+    }
 }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
@@ -363,7 +363,7 @@
             return UNKNOWN_DURATION_MILLIS;
         }
         int tokens = work.map(EngineWork::maxOutputTokens).orElse(0);
-        return context.answerPace().expectedRequestMillis(rule.targetMillis(), tokens);
+        return context.answerPace().longestRequestMillis(rule.targetMillis(), tokens);
     }
 
     /** Asks callers to come back at different times, once this host may have worked off what waits. */
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -281,7 +281,7 @@
 
     private boolean canEndBeforeThisHost() {
         long expectedMillis =
-                context.answerPace().expectedRequestMillis(admitted.rule().targetMillis(), work.maxOutputTokens());
+                context.answerPace().longestRequestMillis(admitted.rule().targetMillis(), work.maxOutputTokens());
         return context.drain().accepts(now(), admitted.callerDeadlineMillis(), expectedMillis);
     }
 
@@ -564,6 +564,11 @@
         if (sends == 1) {
             context.answerPace().record(work.expectedOutputTokens(), now() - firstEventAtMillis);
         }
+        context.answerPace()
+                .recordRequest(
+                        admitted.rule().targetMillis(),
+                        work.maxOutputTokens(),
+                        now() - exchange().arrivedAtMillis());
         out.finish();
         end("answered", status);
     }
