Look at the time left before a stream goes on at another engine

What callers saw: a stream whose engine broke off while its host stopped went on at another engine, was cut at the end of the grace time, and its caller had lost the seconds in between, in which it could have taken the stream up at another host.

Cause: the look at the time left was skipped for requests that had run or had output.

Change: a stream that is not expected to end in time elsewhere is broken off at once; one whose engine is only silent stays there unless it ends in time even if it takes twice as long. DrainAdmission tells these two from the admission, so that a request admitted before all further ones are refused is not refused itself.

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/DrainAdmission.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/DrainAdmission.java
@@ -42,7 +42,7 @@
     }
 
     /**
-     * Tells whether a request may be accepted, or an accepted one may begin to run.
+     * Tells whether a request may be accepted.
      *
      * @param nowMillis the current time
      * @param deadlineMillis time at which the request ends at the latest
@@ -50,13 +50,37 @@
      * @return false if it could still be running when the process ends
      */
     public boolean accepts(long nowMillis, long deadlineMillis, long expectedMillis) {
-        if (refusesAll) {
-            return false;
-        }
-        if (endsAtMillis == Long.MAX_VALUE || deadlineMillis <= endsAtMillis) {
-            return true;
-        }
-        return nowMillis + DURATION_SAFETY_FACTOR * expectedMillis <= endsAtMillis;
+        return !refusesAll && endsInTime(nowMillis, deadlineMillis, expectedMillis);
+    }
+
+    /**
+     * Tells whether an accepted request may begin to run, or go on at another backend server although its own may still
+     * answer.
+     *
+     * @param nowMillis the current time
+     * @param deadlineMillis time at which the request ends at the latest
+     * @param expectedMillis expected time until its answer is complete
+     * @return false if it could still be running when the process ends
+     */
+    public boolean endsInTime(long nowMillis, long deadlineMillis, long expectedMillis) {
+        return mayEndInTime(nowMillis, deadlineMillis, DURATION_SAFETY_FACTOR * expectedMillis);
+    }
+
+    /**
+     * Tells whether a request whose backend server has broken off may go on at another one. Its caller is better off with a
+     * risk than with half an answer, as long as the rest is expected to be complete in time.
+     *
+     * @param nowMillis the current time
+     * @param deadlineMillis time at which the request ends at the latest
+     * @param expectedMillis expected time until its answer is complete
+     * @return false if it is expected to be running still when the process ends
+     */
+    public boolean mayGoOn(long nowMillis, long deadlineMillis, long expectedMillis) {
+        return mayEndInTime(nowMillis, deadlineMillis, expectedMillis);
+    }
+
+    private boolean mayEndInTime(long nowMillis, long deadlineMillis, double millis) {
+        return endsAtMillis == Long.MAX_VALUE || deadlineMillis <= endsAtMillis || nowMillis + millis <= endsAtMillis;
     }
 
     /**
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -204,10 +204,14 @@
             giveUp("No host reaches an engine of service " + admitted.service() + ".");
             return;
         }
-        if (out == null && !hasRun() && !canEndBeforeThisHost()) {
+        if (out == null && !hasRun() && !endsBeforeThisHost()) {
             refuse(drainRefusal.get());
             return;
         }
+        if (out != null && !mayGoOnBeforeThisHostEnds()) {
+            breakOff("broken midway: this host stops");
+            return;
+        }
         Optional<EnginePlan> plan = plan();
         if (plan.isPresent() && isContinuation()) {
             reserveIfSameProcess(plan.get());
@@ -233,9 +237,9 @@
                 isUnopened ? resources.prefilledVersion() : Optional.empty());
     }
 
-    /** Returns an engine at which the stream can go on if its events stay away; none if it may not go on elsewhere. */
+    /** Returns an engine at which the stream can go on in time if its events stay away, if there is one. */
     Optional<EnginePlan> planToGoOn() {
-        return mayRunOnceMore() && origin.isSettled() ? plan() : Optional.empty();
+        return mayRunOnceMore() && origin.isSettled() && endsBeforeThisHost() ? plan() : Optional.empty();
     }
 
     /** Leaves an engine out until the request has waited for room. */
@@ -279,10 +283,16 @@
         });
     }
 
-    private boolean canEndBeforeThisHost() {
-        long expectedMillis =
+    private boolean endsBeforeThisHost() {
+        long longestMillis =
                 context.answerPace().longestRequestMillis(admitted.rule().targetMillis(), work.maxOutputTokens());
-        return context.drain().accepts(now(), admitted.callerDeadlineMillis(), expectedMillis);
+        return context.drain().endsInTime(now(), admitted.callerDeadlineMillis(), longestMillis);
+    }
+
+    private boolean mayGoOnBeforeThisHostEnds() {
+        long expectedMillis =
+                context.answerPace().expectedRequestMillis(admitted.rule().targetMillis(), work.expectedOutputTokens());
+        return context.drain().mayGoOn(now(), admitted.callerDeadlineMillis(), expectedMillis);
     }
 
     private FairAdmissionQueue.Attributes waitingPlace() {
