Give the only server of a plain request all the time that is left

What callers saw: 502 after half of their time for an idempotent request whose server was slow, although no other server was there.

Cause: a run is limited to a part of the remaining time so that another one may follow, whether or not there is a server for it.

Change: the run is limited only if a server is left that has not been tried.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
@@ -142,7 +142,7 @@
     private long runDeadline() {
         boolean anotherRunAllowed =
                 admitted.rule().mayRunAgain() && admitted.rule().maxRuns() > tried.size();
-        if (!anotherRunAllowed) {
+        if (!anotherRunAllowed || !hasUntriedServer()) {
             return admitted.deadlineMillis();
         }
         double millis =
