Count the grace time of a starting host from the signal

What callers saw: nothing, if SIGTERM met a host 0.9 s or more before the end of its start: SIGKILL came before their requests were answered.

The hook waits for the end of the start, and the stop planned the whole grace time from there.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -424,9 +424,18 @@
      * then: stopping each thread in order, as {@link #stop()} does, can outlast the forced end on a busy machine.
      */
     public void drain() {
+        drain(clock.nowMillis() + settings.drainMillis());
+    }
+
+    /**
+     * Drains the daemon.
+     *
+     * @param forcedEndMillis time at which the process is killed
+     */
+    public void drain(long forcedEndMillis) {
         leaving = true;
         new PlannedStop(context, clock, servers.callers(), servers.peers(), router, () -> inProgress(1))
-                .run(settings.drainMillis(), () -> {
+                .run(forcedEndMillis, () -> {
                     reporter.phase(HostPhase.LEAVING);
                     relay.stopAccepting();
                     step();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/PlannedStop.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/PlannedStop.java
@@ -61,12 +61,12 @@
     /**
      * Stops; returns when all requests have been answered and the answers are written, or the time is up.
      *
-     * @param graceMillis time until the process is killed
+     * @param forcedEndMillis time at which the process is killed
      * @param onLeaving runs on the event loop's thread as soon as the stop has begun
      */
-    void run(long graceMillis, Runnable onLeaving) {
+    void run(long forcedEndMillis, Runnable onLeaving) {
         long startedAtMillis = clock.nowMillis();
-        DrainProgress progress = new DrainProgress(startedAtMillis, startedAtMillis + graceMillis);
+        DrainProgress progress = new DrainProgress(startedAtMillis, forcedEndMillis);
         context.log().entry("stop").with("outcome", "leaving").write();
         runOnLoop(progress.runsEndAtMillis(), () -> {
             context.drain().begin(progress.runsEndAtMillis() - ANSWER_MARGIN_MILLIS);
