Look once more before a silent engine is given up for another one

What callers saw: a stream was cut although another engine had been secured for it, as that one announced its end or paused while it was.

Cause: found by the review of EngineHandover: the reservation takes up to 400 ms, and whether the engine is still used was asked only after the old run had ended. Beside that, attempts that overlap shared one place for their reservation, and a used-up retry budget was noticed last, after permits and a reservation had been taken, again every 250 ms.

Change: the last step asks whether the engine is still used and whether the stream has begun meanwhile; each attempt releases its own reservation; the retry budget is looked at first and taken last.

Evidence: SilentEngineTest.streamOfASilentEngineIsNotGivenUpForAnEngineThatLeaves holds; the review's test of the same was red without the change (the stream ended after "secured" and "left or paused"). FaultyServerTest, ColdServerTest, SharedLimitsProperties hold.

--- a/guavathread-core/src/main/java/org/guavathread/core/share/SharedRetryBudget.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/share/SharedRetryBudget.java
@@ -62,6 +62,17 @@
         bucket.tokens = Math.min(capacity(), bucket.tokens + ratio * SAFETY_FACTOR);
     }
 
+    /**
+     * Tells whether a retry is left, without taking it.
+     *
+     * @param service the service
+     * @param nowMillis the current time
+     * @return whether a retry would be allowed
+     */
+    public boolean hasRetry(ServiceName service, long nowMillis) {
+        return bucketOf(service, nowMillis).tokens >= 1;
+    }
+
     /**
      * Takes one retry from the budget, if one is left.
      *
@@ -70,11 +81,10 @@
      * @return whether the retry is allowed
      */
     public boolean tryRetry(ServiceName service, long nowMillis) {
-        Bucket bucket = bucketOf(service, nowMillis);
-        if (bucket.tokens < 1) {
+        if (!hasRetry(service, nowMillis)) {
             return false;
         }
-        bucket.tokens -= 1;
+        bucketOf(service, nowMillis).tokens -= 1;
         return true;
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
@@ -263,6 +263,11 @@
         return mayHaveRun || runInProgress;
     }
 
+    /** Returns whether the retry budget has room for this request now. */
+    boolean mayRepeat() {
+        return context.retries().hasRetry(admitted.service(), now());
+    }
+
     boolean takeRetry() {
         boolean allowed = context.retries().tryRetry(admitted.service(), now());
         if (!allowed) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineHandover.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineHandover.java
@@ -7,10 +7,12 @@
 import org.guavathread.core.dispatch.EnginePlan;
 import org.guavathread.core.dispatch.SendPurpose;
 import org.guavathread.core.registry.Worker;
+import org.guavathread.gateway.protocol.EngineReservation;
 
 /**
  * Looks for another engine for a stream whose events stay away, and secures what the stream needs there: the process whose
- * version is known, permits, memory and a retry. Its own engine, which may only be silent for a while, keeps it until then.
+ * version is known, permits, memory where engines take reservations, and a retry. Its own engine, which may only be silent
+ * for a while, keeps the stream until then.
  */
 final class EngineHandover implements StallWatch.EngineSearch {
 
@@ -29,7 +31,7 @@
 
     @Override
     public void begin(BooleanSupplier isWanted, Consumer<Optional<EnginePlan>> onDone) {
-        Optional<EnginePlan> plan = call.planToGoOn();
+        Optional<EnginePlan> plan = call.mayRepeat() ? call.planToGoOn() : Optional.empty();
         if (plan.isEmpty()) {
             onDone.accept(plan);
             return;
@@ -49,6 +51,8 @@
         private final Worker engine;
         private final BooleanSupplier isWanted;
         private final Consumer<Optional<EnginePlan>> onDone;
+        private final boolean isContinuation = call.isContinuation();
+        private Optional<EngineReservation> reservation = Optional.empty();
 
         private Attempt(EnginePlan plan, BooleanSupplier isWanted, Consumer<Optional<EnginePlan>> onDone) {
             this.plan = plan;
@@ -82,8 +86,9 @@
             } else if (reservations.isPossible()) {
                 reservations.send(
                         engine,
-                        reservation -> {
-                            resources.keepSpare(reservation);
+                        got -> {
+                            reservation = Optional.of(got);
+                            resources.addSpare(got);
                             askForPermitToRun();
                         },
                         () -> {},
@@ -100,16 +105,20 @@
         private void permitted() {
             if (!isWanted.getAsBoolean()) {
                 abandon("not needed any more");
+            } else if (!call.isUsable(engine) || call.isContinuation() != isContinuation) {
+                // All steps before may have taken some hundred milliseconds.
+                abandon("the engine left or paused, or the stream has begun meanwhile");
             } else if (call.isCrashSuspect() || !call.takeRetry()) {
                 abandon("it may not run once more");
             } else {
-                log("secured");
+                reservation.ifPresent(resources::useSpare);
+                log(reservation.isPresent() ? "secured" : "secured, without a reservation");
                 onDone.accept(Optional.of(plan));
             }
         }
 
         private void abandon(String reason) {
-            resources.releaseSpare();
+            reservation.ifPresent(resources::releaseSpare);
             log(reason);
             onDone.accept(Optional.empty());
         }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineResources.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/EngineResources.java
@@ -1,6 +1,9 @@
 package org.guavathread.gateway.call;
 
+import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import org.guavathread.core.dispatch.ServerLoads;
 import org.guavathread.core.id.BackendServerId;
@@ -25,8 +28,8 @@
     private Optional<PrefillResult> prefillResult = Optional.empty();
     private Optional<EngineReservation> reservation = Optional.empty();
 
-    /** A reservation for the case that a running stream goes on at another engine. */
-    private Optional<EngineReservation> spare = Optional.empty();
+    /** Reservations for the case that a running stream goes on at another engine. */
+    private final Set<EngineReservation> spares = new HashSet<>();
 
     EngineResources(GatewayContext context, EngineTerms engineTerms, BackendClient backendClient) {
         this.context = context;
@@ -69,15 +72,21 @@
         reservation = Optional.of(reserved);
     }
 
-    void keepSpare(EngineReservation reserved) {
-        spare = Optional.of(reserved);
+    void addSpare(EngineReservation reserved) {
+        spares.add(reserved);
     }
 
-    /** Makes the spare reservation the one of the next run. */
-    void useSpare() {
+    /** Makes a spare reservation the one of the next run. */
+    void useSpare(EngineReservation reserved) {
+        spares.remove(reserved);
         releaseReservation();
-        reservation = spare;
-        spare = Optional.empty();
+        reservation = Optional.of(reserved);
+    }
+
+    void releaseSpare(EngineReservation reserved) {
+        if (spares.remove(reserved)) {
+            release(reserved);
+        }
     }
 
     void keep(PrefillResult result) {
@@ -120,7 +129,7 @@
     void releaseUnused() {
         freeKvCache();
         releaseReservation();
-        releaseSpare();
+        List.copyOf(spares).forEach(this::releaseSpare);
     }
 
     private void freeKvCache() {
@@ -134,11 +143,6 @@
         reservation = Optional.empty();
     }
 
-    void releaseSpare() {
-        spare.ifPresent(this::release);
-        spare = Optional.empty();
-    }
-
     /** Releases a reservation unless it has expired. */
     void release(EngineReservation reserved) {
         if (now() < reserved.expiresAtMillis()) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -250,7 +250,6 @@
     /** Continues the stream at an engine at which a handover has secured what it needs. */
     void goOn(EnginePlan plan) {
         permittedAtMillis = now();
-        resources.useSpare();
         resources.addRunLoad(plan.decode().id(), work.promptTokens(), work.occupiedTokens());
         generate(plan.decode(), plan.expectedMillis());
     }
@@ -415,7 +414,7 @@
     }
 
     /** Tells whether a server still takes requests; reservation and prefill may have taken seconds. */
-    private boolean isUsable(Worker worker) {
+    boolean isUsable(Worker worker) {
         return serversWithoutPause().stream().anyMatch(w -> w.id().equals(worker.id()));
     }
 
