Count what a stop waits for without asking the event loop

What operators saw: a stop that took longer than the grace time when the event loop got no processor time at its end, so that the lines about requests that were cut were never written; and a phase of refusing shorter than 200 ms.

The stop read the clock, then asked the event loop for its requests and waited up to 500 ms for the answer, twice where a step changed.

Change: what is owed to callers and to other hosts is counted at their connections, which takes no wait and counts no request twice; the clock is read after it. Requests relayed for other hosts have lines "cut" as well.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -246,7 +246,7 @@
     }
 
     private void addGauges() {
-        context.metrics().gauge("guavathread_requests_in_progress", "Requests without an end.", () -> inProgress(0));
+        context.metrics().gauge("guavathread_requests_in_progress", "Requests without an end.", this::inProgress);
         context.metrics()
                 .gauge(
                         "guavathread_crash_suspects",
@@ -314,8 +314,8 @@
     }
 
     /** Returns the requests without an end, also those that this host relays for another one. */
-    private int inProgress(int fallback) {
-        return callOnLoop(() -> router.inProgress() + relay.inProgress(), fallback);
+    private int inProgress() {
+        return callOnLoop(() -> router.inProgress() + relay.inProgress(), 0);
     }
 
     private byte[] permitPage(PageServer.Query query) {
@@ -434,12 +434,11 @@
      */
     public void drain(long forcedEndMillis) {
         leaving = true;
-        new PlannedStop(context, clock, servers.callers(), servers.peers(), router, () -> inProgress(1))
-                .run(forcedEndMillis, () -> {
-                    reporter.phase(HostPhase.LEAVING);
-                    relay.stopAccepting();
-                    step();
-                });
+        new PlannedStop(context, clock, servers.callers(), servers.peers(), router).run(forcedEndMillis, () -> {
+            reporter.phase(HostPhase.LEAVING);
+            relay.stopAccepting();
+            step();
+        });
         context.log().stop();
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/PlannedStop.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/PlannedStop.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.function.IntSupplier;
+import java.util.stream.Stream;
 
 import org.guavathread.core.dispatch.DrainProgress;
 import org.guavathread.core.dispatch.DrainProgress.Step;
@@ -31,7 +31,6 @@
     private final CallerServer callers;
     private final CallerServer peers;
     private final RequestRouter router;
-    private final IntSupplier inProgress;
 
     /**
      * Creates the stop.
@@ -41,21 +40,13 @@
      * @param callers the server for callers
      * @param peers the server for other hosts
      * @param router the requests in progress; used on the event loop's thread only
-     * @param inProgress counts requests in progress; at least 1 if the number is not known
      */
-    PlannedStop(
-            GatewayContext context,
-            Clock clock,
-            CallerServer callers,
-            CallerServer peers,
-            RequestRouter router,
-            IntSupplier inProgress) {
+    PlannedStop(GatewayContext context, Clock clock, CallerServer callers, CallerServer peers, RequestRouter router) {
         this.context = context;
         this.clock = clock;
         this.callers = callers;
         this.peers = peers;
         this.router = router;
-        this.inProgress = inProgress;
     }
 
     /**
@@ -75,32 +66,36 @@
         Step step = Step.ADMITTING;
         while (step != Step.ENDED) {
             pause();
-            Step next = progress.step(clock.nowMillis(), unfinished());
+            int unfinished = unfinished();
+            Step next = progress.step(clock.nowMillis(), unfinished);
             if (next != step) {
-                enter(next, progress);
+                enter(next, progress, unfinished);
             }
             step = next;
         }
         logEnd(clock.nowMillis() - startedAtMillis);
     }
 
-    private void enter(Step step, DrainProgress progress) {
-        if (step == Step.REFUSING) {
-            callers.stopAccepting();
-            runOnLoop(progress.runsEndAtMillis(), () -> context.drain().refuseAll());
-        } else if (step == Step.CUTTING) {
-            runOnLoop(progress.endsAtMillis(), router::endUnfinished);
+    private void enter(Step step, DrainProgress progress, int unfinished) {
+        if (step == Step.ENDED) {
+            return;
         }
         context.log()
                 .entry("stop")
                 .with("outcome", step)
-                .with("unfinished", unfinished())
+                .with("unfinished", unfinished)
                 .write();
+        if (step == Step.REFUSING) {
+            callers.stopAccepting();
+            runOnLoop(progress.runsEndAtMillis(), () -> context.drain().refuseAll());
+        } else {
+            runOnLoop(progress.endsAtMillis(), router::endUnfinished);
+        }
     }
 
-    /** Returns the requests, of callers and of other hosts, to which something is still owed. */
+    /** Returns the requests, of callers and of other hosts, to which something is still owed; never waits. */
     private int unfinished() {
-        return callers.unfinished().size() + peers.unfinished().size() + inProgress.getAsInt();
+        return callers.unfinished().size() + peers.unfinished().size();
     }
 
     /** Runs a task on the event loop's thread and waits for it; a full inbox is tried again. */
@@ -120,13 +115,16 @@
             done.get(Math.max(0, untilMillis - clock.nowMillis()), TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } catch (ExecutionException | TimeoutException e) {
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("A step of the stop cannot fail here; the event loop logs failures.", e);
+        } catch (TimeoutException e) {
             Logger.error("The event loop has not carried out a step of the stop in time.");
         }
     }
 
     private void logEnd(long millis) {
-        List<CallerServer.Unfinished> cut = callers.unfinished();
+        List<CallerServer.Unfinished> cut = Stream.concat(callers.unfinished().stream(), peers.unfinished().stream())
+                .toList();
         cut.stream()
                 .limit(MAX_CUT_LINES)
                 .forEach(each -> context.log()
