Send no plain request to another server that cannot answer before the host ends

What callers saw: 504, it may have run, for a request that its first server had refused late in the stop of its host: it was sent to another one and ended with the host.

Cause: found by the review. Streams were held against the time left before each placement, plain requests on arrival only.

Change: PlainCall looks at the time left before each send of a request that has not run, and refuses it as not run otherwise.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Supplier;
 
 import org.guavathread.core.dispatch.SendPurpose;
 import org.guavathread.core.dispatch.ServerLoads;
@@ -23,6 +24,7 @@
 
     private final BackendClient backendClient;
     private final ReturnQueue returnQueue;
+    private final Supplier<Refusal> drainRefusal;
     private ServerLoads.Ticket ticket;
 
     PlainCall(
@@ -31,10 +33,12 @@
             RequestRouter.Permits permits,
             BackendClient backendClient,
             ReturnQueue returnQueue,
+            Supplier<Refusal> drainRefusal,
             Runnable onEnd) {
         super(context, admitted, permits, onEnd);
         this.backendClient = backendClient;
         this.returnQueue = returnQueue;
+        this.drainRefusal = drainRefusal;
     }
 
     @Override
@@ -58,6 +62,10 @@
         if (endedBeforeSending()) {
             return;
         }
+        if (!hasRun() && !endsBeforeThisHost()) {
+            refuse(drainRefusal.get());
+            return;
+        }
         if (!backendClient.isReachable(admitted.service())) {
             refuseFull("No host reaches a backend server of service " + admitted.service() + ".");
             return;
@@ -70,6 +78,12 @@
         }
     }
 
+    private boolean endsBeforeThisHost() {
+        long longestMillis =
+                context.answerPace().longestRequestMillis(admitted.rule().targetMillis(), 0);
+        return context.drain().endsInTime(now(), admitted.callerDeadlineMillis(), longestMillis);
+    }
+
     /** Returns the servers to choose from: those that state a limit or are cold only if no other has a free slot. */
     private List<Worker> candidates() {
         List<Worker> available = serversWithoutPause();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RequestRouter.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import org.guavathread.core.dispatch.CrashTrait;
 import org.guavathread.core.dispatch.EngineWork;
@@ -396,6 +397,7 @@
         BackendClient client = backendClient.within(admitted.homes());
         Call[] call = new Call[1];
         Runnable onEnd = () -> calls.remove(call[0]);
+        Supplier<Refusal> drainRefusal = () -> drainRefusal(context.loop().nowMillis());
         call[0] = engine.isPresent()
                 ? new StreamCall(
                         context,
@@ -405,11 +407,12 @@
                         engine.get(),
                         client,
                         capacityQueueOf(admitted),
-                        () -> drainRefusal(context.loop().nowMillis()),
+                        drainRefusal,
                         origins,
                         processCheck,
                         onEnd)
-                : new PlainCall(context, admitted, permits, client, returnQueueOf(admitted.service()), onEnd);
+                : new PlainCall(
+                        context, admitted, permits, client, returnQueueOf(admitted.service()), drainRefusal, onEnd);
         calls.add(call[0]);
         call[0].begin();
     }
