Never drop the end of work that has begun when the event loop is behind

What callers saw: 504 at their deadline for a request that its server had answered.

Answers, failures, closed connections and grants of permits were offered to the inbox like new work, and nobody looked whether it took them.

Change: EventLoop.complete takes the ends of work that has begun; those that find the inbox full run at the next tick. New work, such as requests and messages of other hosts, is still refused.

StopOfBusyHostTest, GatewayPathTest, BusyHostTest hold.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/Gateway.java
@@ -383,7 +383,7 @@
                 .with("seeds", settings.seeds())
                 .with("firstStart", settings.isFirstStart())
                 .write();
-        context.loop().execute(() -> {
+        context.loop().complete(() -> {
             reporter.start(router);
             tick();
         });
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/AnswerMailbox.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/AnswerMailbox.java
@@ -95,9 +95,8 @@
     }
 
     private void schedule() {
-        // If the inbox is full, the next part tries again; without one, the request ends at its deadline.
-        if (scheduled.compareAndSet(false, true) && !loop.execute(this::deliver)) {
-            scheduled.set(false);
+        if (scheduled.compareAndSet(false, true)) {
+            loop.complete(this::deliver);
         }
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/BackendClient.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/BackendClient.java
@@ -158,7 +158,7 @@
             Consumer<HttpResponse> onAnswer,
             Consumer<Throwable> onFailure) {
         CompletableFuture<HttpResponse> answer = context.client().send(address, request);
-        answer.whenComplete((complete, failure) -> context.loop().execute(() -> {
+        answer.whenComplete((complete, failure) -> context.loop().complete(() -> {
             if (failure == null) {
                 onAnswer.accept(complete);
             } else {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
@@ -69,7 +69,7 @@
                 deadlinePassed();
             }
         });
-        admitted.exchange().onDisconnect(() -> context.loop().execute(this::callerGone));
+        admitted.exchange().onDisconnect(() -> context.loop().complete(this::callerGone));
     }
 
     /** Sends the request for the first time. */
@@ -171,7 +171,7 @@
                         .with("roomInMillis", context.serverLimits().roomInMillis(List.of(worker), now()))
                         .write();
                 // Not at once: a host that owns the limits of many full servers would nest one call for each.
-                context.loop().execute(() -> {
+                context.loop().complete(() -> {
                     if (!isEnded()) {
                         refused.run();
                     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/GatewayContext.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/GatewayContext.java
@@ -130,7 +130,7 @@
             return;
         }
         client.send(server.address(), request)
-                .whenComplete((answer, failure) -> loop.execute(() -> {
+                .whenComplete((answer, failure) -> loop.complete(() -> {
                     if (failure == null) {
                         notices.heard(server, request, answer.head());
                     }
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RelayedCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/RelayedCall.java
@@ -54,7 +54,7 @@
         Optional<Relays.RelayHost> next = tried.size() < MAX_RELAYS ? relays.next(tried, allowed) : Optional.empty();
         if (next.isEmpty()) {
             // A failure within this call would reach a caller that has not stored the call yet.
-            context.loop().execute(() -> fail(RelayProtocol.Failure.UNAVAILABLE.exceptionFor(worker.address())));
+            context.loop().complete(() -> fail(RelayProtocol.Failure.UNAVAILABLE.exceptionFor(worker.address())));
             return this;
         }
         relay = next.get();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerRelay.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/ServerRelay.java
@@ -87,7 +87,7 @@
         running.add(relayed);
         relayed.call =
                 BackendClient.streamFrom(context, worker.get(), worker.get().address(), request, relayed);
-        exchange.onDisconnect(() -> context.loop().execute(relayed::callerGone));
+        exchange.onDisconnect(() -> context.loop().complete(relayed::callerGone));
     }
 
     private HttpRequest requestOf(CallerExchange exchange) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/GossipReporter.java
@@ -313,7 +313,7 @@
         context.client()
                 .send(peer.peers(), relay.request(context.loop().nowMillis()))
                 .whenComplete(
-                        (answer, failure) -> context.loop().execute(() -> reportsReceived(peer, answer, failure)));
+                        (answer, failure) -> context.loop().complete(() -> reportsReceived(peer, answer, failure)));
     }
 
     private void reportsReceived(HostReport peer, HttpResponse answer, Throwable failure) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/OriginDirectory.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/OriginDirectory.java
@@ -203,7 +203,7 @@
             }
             keepers.forEach(peer -> context.client()
                     .send(peer.peers(), relay.request(attempt, now()))
-                    .whenComplete((answer, failure) -> context.loop().execute(() -> answered(peer, answer, failure))));
+                    .whenComplete((answer, failure) -> context.loop().complete(() -> answered(peer, answer, failure))));
         }
 
         private void answered(HostReport peer, HttpResponse answer, Throwable failure) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/PermitClient.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/PermitClient.java
@@ -73,7 +73,7 @@
         context.client()
                 .send(peer.get().peers(), relay.request(server, terms.get(), now()))
                 .whenComplete((answer, failure) -> context.loop()
-                        .execute(() -> answered(
+                        .complete(() -> answered(
                                 server,
                                 roomInMillis(peer.get(), answer, failure)
                                         .orElseGet(() -> withoutOwner(server, terms.get())),
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StateSynchroniser.java
@@ -118,7 +118,7 @@
         switch (call) {
             case LISTING ->
                 store.list(now + StoreFollower.SHORT_CALL_TIMEOUT_MILLIS)
-                        .whenComplete((reply, failure) -> context.loop().execute(() -> listed(reply, failure)));
+                        .whenComplete((reply, failure) -> context.loop().complete(() -> listed(reply, failure)));
             case WATCH ->
                 watch(StoreFollower.WATCH_MILLIS, now + StoreFollower.WATCH_MILLIS + StoreFollower.WATCH_SLACK_MILLIS);
             case PROBE -> watch(SHORTEST_WAIT_MILLIS, now + StoreFollower.SHORT_CALL_TIMEOUT_MILLIS);
@@ -129,7 +129,7 @@
     private void watch(long waitMillis, long deadlineMillis) {
         StorePosition from = context.state().position();
         store.watch(from.revision(), waitMillis, deadlineMillis)
-                .whenComplete((reply, failure) -> context.loop().execute(() -> watched(from, reply, failure)));
+                .whenComplete((reply, failure) -> context.loop().complete(() -> watched(from, reply, failure)));
     }
 
     private void listed(StoreClient.Reply reply, Throwable failure) {
@@ -224,7 +224,7 @@
                 new StateRelay.Known(context.state().position(), context.state().version());
         context.client()
                 .send(peer, relay.request(known, context.loop().nowMillis()))
-                .whenComplete((answer, failure) -> context.loop().execute(() -> {
+                .whenComplete((answer, failure) -> context.loop().complete(() -> {
                     stateReceived(peer, answer, failure);
                     done.complete(null);
                 }));
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StoreConfirmation.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StoreConfirmation.java
@@ -56,7 +56,7 @@
         waiting.clear();
         StorePosition from = context.state().position();
         store.watch(from.revision(), SHORTEST_WAIT_MILLIS, context.loop().nowMillis() + TIMEOUT_MILLIS)
-                .whenComplete((reply, failure) -> context.loop().execute(() -> {
+                .whenComplete((reply, failure) -> context.loop().complete(() -> {
                     boolean isCurrent = failure == null && apply(from, reply);
                     context.log()
                             .entry("confirm")
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StoreHistoryReader.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/fleet/StoreHistoryReader.java
@@ -76,7 +76,7 @@
         }
         long after = revision.getAsLong();
         store.watch(after, SHORTEST_WAIT_MILLIS, deadlineMillis)
-                .whenComplete((reply, failure) -> context.loop().execute(() -> answered(after, reply, failure)));
+                .whenComplete((reply, failure) -> context.loop().complete(() -> answered(after, reply, failure)));
     }
 
     private void answered(long after, StoreClient.Reply reply, Throwable failure) {
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/loop/EventLoop.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/loop/EventLoop.java
@@ -2,6 +2,8 @@
 
 import java.util.Comparator;
 import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.guavathread.core.time.Clock;
@@ -25,6 +27,9 @@
     private final Clock clock;
     private final Duty<PriorityQueue<Timer>> duty;
     private final AtomicLong refusedTasks = new AtomicLong();
+    /** Ends that found the inbox full; each belongs to an exchange, a connection or a call, which bounds their number. */
+    private final Queue<Runnable> ends = new ConcurrentLinkedQueue<>();
+
     private final PriorityQueue<Timer> timers = new PriorityQueue<>(
             Comparator.comparingLong((Timer t) -> t.atMillis).thenComparingLong(t -> t.sequence));
     private long nextSequence;
@@ -76,6 +81,18 @@
         return accepted;
     }
 
+    /**
+     * Runs the end of work that has begun, such as an answer, on the loop's thread. May be called on any thread. Unlike new
+     * work it is never refused, since somebody waits for it; if the inbox is full, it runs at the next tick.
+     *
+     * @param end the task; a failure is logged and does not end the loop
+     */
+    public void complete(Runnable end) {
+        if (!duty.offer(queue -> runLoggingFailure(end))) {
+            ends.add(end);
+        }
+    }
+
     /**
      * Schedules a task. Must be called on the loop's thread.
      *
@@ -99,6 +116,9 @@
     }
 
     private void runDue(long nowMillis) {
+        for (Runnable end = ends.poll(); end != null; end = ends.poll()) {
+            runLoggingFailure(end);
+        }
         while (!timers.isEmpty() && timers.peek().atMillis <= nowMillis) {
             Runnable task = timers.poll().task;
             if (task != null) {
