--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/PlannedStop.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/PlannedStop.java
@@ -98,7 +98,7 @@
         return callers.unfinished().size() + peers.unfinished().size();
     }
 
-    /** Runs a task on the event loop's thread and waits for it; a full inbox is tried again. */
+    /** Runs a task on the event loop's thread and waits for it. */
     private void runOnLoop(long untilMillis, Runnable task) {
         CompletableFuture<Void> done = new CompletableFuture<>();
         Runnable confirmed = () -> {
@@ -108,9 +108,7 @@
                 done.complete(null);
             }
         };
-        while (!context.loop().execute(confirmed) && clock.nowMillis() < untilMillis) {
-            pause();
-        }
+        context.loop().complete(confirmed);
         try {
             done.get(Math.max(0, untilMillis - clock.nowMillis()), TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
