End a stopped process as soon as its log is written

Cause: between the last look at what is owed and the end of the process lay the end of the log, whose writer may wait up to 500 ms for a line.

Change: the end of the log wakes its writer.

DecisionLogTest holds. That a starved process still reads something in its last milliseconds is not excluded.

--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/log/DecisionLog.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/log/DecisionLog.java
@@ -35,6 +35,9 @@
     /** Lines that are written at once, in bytes, with one more line at most. */
     private static final int MAX_BATCH_BYTES = 8 * 1024;
 
+    /** Stands in the queue for the end of the log. */
+    private static final Map<String, Object> END = new LinkedHashMap<>();
+
     private final JsonFactory json = new JsonFactory();
     private final ByteArrayOutputStream lines = new ByteArrayOutputStream();
     private final MpscBlockingConsumerArrayQueue<Map<String, Object>> queue =
@@ -136,6 +139,8 @@
     @Override
     public void stop() {
         running = false;
+        // Wakes the writer, which may wait for a line: what happens meanwhile is no longer waited for by anybody.
+        queue.offer(END);
         try {
             thread.join(STOP_WAIT_MILLIS);
         } catch (InterruptedException e) {
@@ -148,7 +153,7 @@
         try {
             while (running || !queue.isEmpty()) {
                 Map<String, Object> fields = queue.poll(POLL_MILLIS, TimeUnit.MILLISECONDS);
-                if (fields != null) {
+                if (fields != null && fields != END) {
                     print(fields);
                 }
             }
@@ -160,7 +165,7 @@
     /** Writes a line, and those that are queued behind it, in one system call. */
     private void print(Map<String, Object> first) {
         lines.reset();
-        for (Map<String, Object> fields = first; fields != null; ) {
+        for (Map<String, Object> fields = first; fields != null && fields != END; ) {
             long droppedLines = dropped.getAndSet(0);
             if (droppedLines > 0) {
                 fields.put("droppedLines", droppedLines);
