Learn the pace of engines from the first answers

What callers saw: at a host that had been started again, streams sent later than 3 s after SIGTERM were admitted and cut at 7 s.

Cause: the pace started at 8 ms a token and followed each answer by 5%; in a series of stops hosts know a dozen answers, so that an engine with 40 ms a token was counted with a quarter of that.

Change: the first answers weigh as much as their number says, with the initial estimate as one of them, and a host that knows no answers yet counts with twice its estimate.

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/AnswerDurationEstimator.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/AnswerDurationEstimator.java
@@ -3,8 +3,8 @@
 /** Estimates how long engines take to generate an answer, from the answers that completed. */
 public final class AnswerDurationEstimator {
 
-    /** Weight of the latest answer in the moving average: about 20 answers, since batch sizes change within seconds. */
-    private static final double SMOOTHING_FACTOR = 0.05;
+    /** Minimum weight of the latest answer in the average: about 20 answers, since batch sizes change within seconds. */
+    private static final double MIN_WEIGHT = 0.05;
 
     /** Estimate before the first answer: one decode step of an engine whose batch is half full. */
     private static final double INITIAL_MILLIS_PER_TOKEN = 8;
@@ -12,10 +12,16 @@
     /** Fraction of an overrun that is left after the next answer; half of it is left after 34 answers. */
     private static final double OVERRUN_FADING = 0.98;
 
+    /** Overrun that a process counts with which has just started and knows nothing of its engines. */
+    private static final double INITIAL_OVERRUN = 2;
+
     private double millisPerToken = INITIAL_MILLIS_PER_TOKEN;
 
+    /** Answers in the average; the initial estimate counts as one, so that a few answers outweigh it. */
+    private int answers = 1;
+
     /** Largest recent ratio of the time that a request took to its estimate; at least 1. */
-    private double overrun = 1;
+    private double overrun = INITIAL_OVERRUN;
 
     /**
      * Records a completed answer.
@@ -25,7 +31,9 @@
      */
     public void record(int expectedTokens, long millis) {
         if (expectedTokens > 0) {
-            millisPerToken += (millis / (double) expectedTokens - millisPerToken) * SMOOTHING_FACTOR;
+            answers++;
+            double weight = Math.max(MIN_WEIGHT, 1.0 / answers);
+            millisPerToken += (millis / (double) expectedTokens - millisPerToken) * weight;
         }
     }
 
