Look at the time left before a host ends in one place

PlainCall and StreamCall each had the check, and kept the refusal for it; Call has both now (refusedByDrain, endsBeforeThisHost). The estimate of a request is that of the rest of an answer of which nothing has been streamed, and a retry is taken with one look at its budget. Behaviour is unchanged: AnswerDurationEstimatorTest, DrainAdmissionTest, SharedLimitsProperties, PlannedStopTest, StreamsAtStopTest, SilentEngineTest hold.

--- a/guavathread-core/src/main/java/org/guavathread/core/dispatch/AnswerDurationEstimator.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/dispatch/AnswerDurationEstimator.java
@@ -67,7 +67,7 @@
      * @return milliseconds
      */
     public long expectedRequestMillis(long targetMillis, int expectedTokens) {
-        return targetMillis + expectedMillis(expectedTokens);
+        return expectedRestMillis(targetMillis, expectedTokens, 0);
     }
 
     /**
@@ -78,7 +78,7 @@
      * @return milliseconds
      */
     public long longestRequestMillis(long targetMillis, int maxTokens) {
-        return (long) (overrun * expectedRequestMillis(targetMillis, maxTokens));
+        return longestRestMillis(targetMillis, maxTokens, 0);
     }
 
     /**
--- a/guavathread-core/src/main/java/org/guavathread/core/share/SharedRetryBudget.java
+++ b/guavathread-core/src/main/java/org/guavathread/core/share/SharedRetryBudget.java
@@ -81,10 +81,11 @@
      * @return whether the retry is allowed
      */
     public boolean tryRetry(ServiceName service, long nowMillis) {
-        if (!hasRetry(service, nowMillis)) {
+        Bucket bucket = bucketOf(service, nowMillis);
+        if (bucket.tokens < 1) {
             return false;
         }
-        bucketOf(service, nowMillis).tokens -= 1;
+        bucket.tokens -= 1;
         return true;
     }
 
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/Call.java
@@ -8,6 +8,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 import org.guavathread.core.dispatch.CrashTrait;
@@ -49,6 +50,7 @@
     final AdmittedRequest admitted;
     final Set<BackendServerId> tried = new HashSet<>();
     private final RequestRouter.Permits permits;
+    private final Supplier<Refusal> drainRefusal;
     private final Runnable onEnd;
     private final EventLoop.Timer deadline;
     private HttpCall backendCall;
@@ -59,10 +61,16 @@
     private int runs;
     private int unsentAttempts;
 
-    Call(GatewayContext context, AdmittedRequest admitted, RequestRouter.Permits permits, Runnable onEnd) {
+    Call(
+            GatewayContext context,
+            AdmittedRequest admitted,
+            RequestRouter.Permits permits,
+            Supplier<Refusal> drainRefusal,
+            Runnable onEnd) {
         this.context = context;
         this.admitted = admitted;
         this.permits = permits;
+        this.drainRefusal = drainRefusal;
         this.onEnd = onEnd;
         this.deadline = context.loop().schedule(admitted.deadlineMillis() - ANSWER_MARGIN_MILLIS, () -> {
             if (!ended) {
@@ -227,6 +235,22 @@
         return true;
     }
 
+    /** Refuses a request that has not run if it could still be running when this host ends. */
+    boolean refusedByDrain(int maxTokens) {
+        if (hasRun() || endsBeforeThisHost(maxTokens, 0)) {
+            return false;
+        }
+        refuse(drainRefusal.get());
+        return true;
+    }
+
+    /** Tells whether the rest of an answer ends before this host does, even if it fares as badly as recent ones did. */
+    boolean endsBeforeThisHost(int maxTokens, long streamedMillis) {
+        long longestMillis =
+                context.answerPace().longestRestMillis(admitted.rule().targetMillis(), maxTokens, streamedMillis);
+        return context.drain().endsInTime(now(), admitted.callerDeadlineMillis(), longestMillis);
+    }
+
     /** Sets an exchange in which a backend server runs the request. Until it ends, the request may have run. */
     void setRunCall(HttpCall call) {
         backendCall = call;
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/PlainCall.java
@@ -24,7 +24,6 @@
 
     private final BackendClient backendClient;
     private final ReturnQueue returnQueue;
-    private final Supplier<Refusal> drainRefusal;
     private ServerLoads.Ticket ticket;
 
     PlainCall(
@@ -35,10 +34,9 @@
             ReturnQueue returnQueue,
             Supplier<Refusal> drainRefusal,
             Runnable onEnd) {
-        super(context, admitted, permits, onEnd);
+        super(context, admitted, permits, drainRefusal, onEnd);
         this.backendClient = backendClient;
         this.returnQueue = returnQueue;
-        this.drainRefusal = drainRefusal;
     }
 
     @Override
@@ -59,11 +57,7 @@
 
     /** Sends the request to the best server, or decides that there is none. */
     void send() {
-        if (endedBeforeSending()) {
-            return;
-        }
-        if (!hasRun() && !endsBeforeThisHost()) {
-            refuse(drainRefusal.get());
+        if (endedBeforeSending() || refusedByDrain(0)) {
             return;
         }
         if (!backendClient.isReachable(admitted.service())) {
@@ -78,12 +72,6 @@
         }
     }
 
-    private boolean endsBeforeThisHost() {
-        long longestMillis =
-                context.answerPace().longestRequestMillis(admitted.rule().targetMillis(), 0);
-        return context.drain().endsInTime(now(), admitted.callerDeadlineMillis(), longestMillis);
-    }
-
     /** Returns the servers to choose from: those that state a limit or are cold only if no other has a free slot. */
     private List<Worker> candidates() {
         List<Worker> available = serversWithoutPause();
--- a/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
+++ b/guavathread-gateway/src/main/java/org/guavathread/gateway/call/StreamCall.java
@@ -45,7 +45,6 @@
     private final EngineResources resources;
     private final ReservationRequest reservations;
     private final EngineSelection selection;
-    private final Supplier<Refusal> drainRefusal;
     private final StreamOrigin origin;
     private final ProcessCheck processCheck;
     private final StallWatch stallWatch;
@@ -70,8 +69,7 @@
             RequestRouter.Origins origins,
             ProcessCheck processCheck,
             Runnable onEnd) {
-        super(context, admitted, permits, onEnd);
-        this.drainRefusal = drainRefusal;
+        super(context, admitted, permits, drainRefusal, onEnd);
         this.origin = new StreamOrigin(context, admitted, origins, processCheck);
         this.processCheck = processCheck;
         this.capacityQueue = capacityQueue;
@@ -204,8 +202,7 @@
             giveUp("No host reaches an engine of service " + admitted.service() + ".");
             return;
         }
-        if (out == null && !hasRun() && !endsBeforeThisHost()) {
-            refuse(drainRefusal.get());
+        if (refusedByDrain(work.maxOutputTokens())) {
             return;
         }
         if (out != null && !mayGoOnBeforeThisHostEnds()) {
@@ -239,7 +236,9 @@
 
     /** Returns an engine at which the stream can go on in time if its events stay away, if there is one. */
     Optional<EnginePlan> planToGoOn() {
-        return mayRunOnceMore() && origin.isSettled() && endsBeforeThisHost() ? plan() : Optional.empty();
+        boolean mayGoOn =
+                mayRunOnceMore() && origin.isSettled() && endsBeforeThisHost(work.maxOutputTokens(), streamedMillis());
+        return mayGoOn ? plan() : Optional.empty();
     }
 
     /** Leaves an engine out until the request has waited for room. */
@@ -282,12 +281,6 @@
         });
     }
 
-    private boolean endsBeforeThisHost() {
-        long longestMillis = context.answerPace()
-                .longestRestMillis(admitted.rule().targetMillis(), work.maxOutputTokens(), streamedMillis());
-        return context.drain().endsInTime(now(), admitted.callerDeadlineMillis(), longestMillis);
-    }
-
     private boolean mayGoOnBeforeThisHostEnds() {
         long expectedMillis = context.answerPace()
                 .expectedRestMillis(admitted.rule().targetMillis(), work.expectedOutputTokens(), streamedMillis());
