--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-javac -Xlint:all -d target/review-2 review/standin-2/*.java
+javac -encoding UTF-8 -Xlint:all -d target/review-2 review/standin-2/*.java
--- a/review/standin-2/Gateway.java
+++ b/review/standin-2/Gateway.java
@@ -19,6 +19,8 @@
     private static final Pattern ZONES = Pattern.compile("\\{\\{#zones}}.*\\{\\{/zones}}");
     private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([a-z_.]+)}}");
     private static final Random RANDOM = new Random();
+    /** The ports are the same on all machines. */
+    private static final int[] PORTS = Ports.free(6);
     private static final long READY_TIMEOUT_MILLIS = 25_000;
 
     final String name;
@@ -28,13 +30,15 @@
     final int front;
     final int ready;
     final int directory;
+    final int control;
     final int peers;
     private final Map<String, String> settings = new TreeMap<>();
+    private final Map<String, String> environment = new TreeMap<>();
     private final Path log;
     Process process;
 
     /**
-     * Prepares a gateway on free ports of a loopback address.
+     * Prepares a gateway at a loopback address of its own.
      *
      * @param store address of the platform's store
      * @param folder receives the output of the process
@@ -42,11 +46,11 @@
     Gateway(String name, String store, Path folder) throws IOException {
         this.name = name;
         this.log = folder.resolve(name + ".log");
-        int[] ports = Ports.free(ip, 5);
-        front = ports[0];
-        ready = ports[1];
-        directory = ports[2];
-        peers = ports[3];
+        front = PORTS[0];
+        ready = PORTS[1];
+        directory = PORTS[2];
+        control = PORTS[3];
+        peers = PORTS[4];
         settings.put("node_name", name);
         settings.put("zone", "curico");
         settings.put("limits.cores", "1");
@@ -54,7 +58,7 @@
         settings.put("listen.front", ip + ":" + front);
         settings.put("listen.directory", ip + ":" + directory);
         settings.put("listen.ready", ip + ":" + ready);
-        settings.put("internal_port_range", peers + "," + ports[4]);
+        settings.put("internal_port_range", peers + "," + PORTS[5]);
         settings.put("seed_nodes", "");
         settings.put("platform.address", store);
         settings.put("platform.history_s", "20");
@@ -76,9 +80,15 @@
         return this;
     }
 
+    /** Sets a variable of the process. */
+    Gateway environment(String key, String value) {
+        environment.put(key, value);
+        return this;
+    }
+
     /** Returns the address that the platform lists as a seed. */
     String control() {
-        return ip + ":" + peers;
+        return ip + ":" + control;
     }
 
     void start() throws IOException {
@@ -99,6 +109,7 @@
         }
         ProcessBuilder builder = new ProcessBuilder(words);
         builder.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
+        builder.environment().putAll(environment);
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
         process = builder.start();
         Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
--- a/review/standin-2/Ports.java
+++ b/review/standin-2/Ports.java
@@ -1,21 +1,25 @@
 import java.io.IOException;
-import java.net.InetAddress;
+import java.io.UncheckedIOException;
 import java.net.ServerSocket;
 
-/** Free ports of a loopback address. */
+/** Ports that are free at all addresses. */
 final class Ports {
 
     private Ports() {}
 
-    static int[] free(String ip, int count) throws IOException {
+    static int[] free(int count) {
         ServerSocket[] sockets = new ServerSocket[count];
         int[] ports = new int[count];
-        for (int i = 0; i < count; i++) {
-            sockets[i] = new ServerSocket(0, 1, InetAddress.getByName(ip));
-            ports[i] = sockets[i].getLocalPort();
-        }
-        for (ServerSocket socket : sockets) {
-            socket.close();
+        try {
+            for (int i = 0; i < count; i++) {
+                sockets[i] = new ServerSocket(0);
+                ports[i] = sockets[i].getLocalPort();
+            }
+            for (ServerSocket socket : sockets) {
+                socket.close();
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
         }
         return ports;
     }
--- a/review/standin-2/SilentWatch.java
+++ b/review/standin-2/SilentWatch.java
@@ -54,6 +54,9 @@
             gateway.awaitReady();
         }
         Thread.sleep(4_000);
+        for (Gateway gateway : gateways) {
+            record(gateway.name + " names to clients: " + gateway.resolve().replaceAll("(?s).*\r\n\r\n", ""));
+        }
 
         // An ordinary change: a further worker registers.
         Worker fourth = new Worker("i-4", "patio", "", (request, out, socket) -> {
