Review case 6: streams of a worker that started again go on at the version before

Claim: ORDER is broken. A worker that has started again at another version and crashes before it writes to the store leaves its streams to workers of the version before: the store still lists the earlier process, and that counts as confirmation.

Run: review/6/run.sh five times and once with TROUBLE=0.

--- a/review/standin-2/Worker.java
+++ b/review/standin-2/Worker.java
@@ -34,38 +34,52 @@
     final String id;
     private final String service;
     private final String stage;
+    private final String version;
     private final ServerSocket listener;
     private final Script script;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final long born = System.currentTimeMillis();
     private int sequence = 1;
+    /** Time that the worker takes for its report; a busy one takes some hundred milliseconds. */
+    volatile long reportMillis;
 
     Worker(String id, String service, String stage, Script script) throws IOException {
+        this(id, service, stage, "v1", 0, script);
+    }
+
+    /** Starts a process of a worker with a software version, at a port or, with 0, at any free one. */
+    Worker(String id, String service, String stage, String version, int port, Script script) throws IOException {
         this.id = id;
         this.service = service;
         this.stage = stage;
+        this.version = version;
         this.script = script;
         listener = new ServerSocket();
         listener.setReuseAddress(true);
-        listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 400);
+        listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 400);
         thread(this::accept);
     }
 
+    int port() {
+        return listener.getLocalPort();
+    }
+
     /** Returns what the worker writes into the store. */
     String entry(String state) {
         String engine = stage.isEmpty()
                 ? ""
                 : ",\"stage\":\"" + stage + "\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]";
         return "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + listener.getLocalPort()
-                + "\",\"zone\":\"curico\",\"version\":\"v1\",\"slots\":" + (stage.isEmpty() ? 6 : 64)
+                + "\",\"zone\":\"curico\",\"version\":\"" + version + "\",\"slots\":" + (stage.isEmpty() ? 6 : 64)
                 + ",\"state\":\"" + state + "\",\"cold_remaining_ms\":0,\"sequence\":" + sequence++ + ",\"born\":" + born
                 + engine + "}";
     }
 
-    /** Ends the worker as a process that exits does. */
-    void exit() throws IOException {
+    /** Ends the worker as a process that crashes does: its channels are reset. */
+    void crash() throws IOException {
         listener.close();
         for (Socket socket : open) {
+            socket.setSoLinger(true, 0);
             socket.close();
         }
     }
@@ -105,6 +119,7 @@
         if (!target.isEmpty() && !target.equals(id)) {
             write(out, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
         } else if (request.target().equals("/guavathread/report")) {
+            Thread.sleep(reportMillis);
             json(out, "", "{\"stage\":\"" + stage + "\",\"models\":[],\"busy\":false,\"sequence\":0,\"queue_depth\":0,"
                     + "\"running_count\":0,\"kv_used\":0,\"kv_total\":39852,\"handles\":0,\"runs\":[],\"born\":" + born
                     + "}");
