--- a/review/standin-2/Uploads.java
+++ b/review/standin-2/Uploads.java
@@ -19,11 +19,15 @@
  */
 final class Uploads extends Case {
 
-    private static final int UPLOADERS = Integer.getInteger("uploaders", 48);
-    private static final int CALLERS = Integer.getInteger("callers", 40);
-    private static final int BODY_BYTES = Integer.getInteger("bytes", 4_000_000);
-    private static final int UPLOAD_MILLIS = Integer.getInteger("slow", 3_000);
-    private static final int DURATION_MILLIS = Integer.getInteger("millis", 30_000);
+    private static final int USUAL_UPLOADERS = Integer.getInteger("usual", 26);
+    /** In the burst, 1.9 times as many clients upload. */
+    private static final int BURST_UPLOADERS = Integer.getInteger("burst", 49);
+    private static final int CALLERS = 40;
+    private static final int BODY_BYTES = 4_000_000;
+    private static final int UPLOAD_MILLIS = 3_000;
+    private static final int BEFORE_MILLIS = 5_000;
+    private static final int BURST_MILLIS = 10_000;
+    private static final int AFTER_MILLIS = 10_000;
     private static final int PARTS = 100;
     private static final int WORK_MILLIS = 50;
     private static final int ROUTE_TIMEOUT_MILLIS = 2_000;
@@ -66,20 +70,29 @@
         gateway.awaitReady();
         Thread.sleep(3_500);
 
-        record(CALLERS + " clients send small requests; " + (trouble ? UPLOADERS : 1) + " upload bodies of " + BODY_BYTES
+        record(CALLERS + " clients send small requests, " + USUAL_UPLOADERS + " upload bodies of " + BODY_BYTES
                 + " bytes within " + UPLOAD_MILLIS + " ms each");
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < CALLERS; i++) {
             String client = "call-" + i;
-            threads.add(new Thread(() -> callOften(gateway, client)));
+            threads.add(start(() -> callOften(gateway, client)));
         }
-        for (int i = 0; i < (trouble ? UPLOADERS : 1); i++) {
+        for (int i = 0; i < USUAL_UPLOADERS; i++) {
             String client = "up-" + i;
-            threads.add(new Thread(() -> upload(gateway, client)));
+            threads.add(start(() -> upload(gateway, client, Long.MAX_VALUE)));
         }
-        threads.forEach(thread -> thread.setDaemon(true));
-        threads.forEach(Thread::start);
-        sleepUntil(System.currentTimeMillis() + DURATION_MILLIS);
+        Thread.sleep(BEFORE_MILLIS);
+        if (trouble) {
+            record("a burst: " + BURST_UPLOADERS + " clients upload for " + BURST_MILLIS + " ms");
+            long untilMillis = System.currentTimeMillis() + BURST_MILLIS;
+            for (int i = USUAL_UPLOADERS; i < BURST_UPLOADERS; i++) {
+                String client = "up-" + i;
+                threads.add(start(() -> upload(gateway, client, untilMillis)));
+            }
+        }
+        Thread.sleep(BURST_MILLIS);
+        record("the burst is over");
+        Thread.sleep(AFTER_MILLIS);
         stopped = true;
         for (Thread thread : threads) {
             thread.join(5_000);
@@ -118,9 +131,16 @@
         outcomes.computeIfAbsent(outcome, key -> new AtomicInteger()).incrementAndGet();
     }
 
-    private void upload(Gateway gateway, String client) {
+    private static Thread start(Runnable task) {
+        Thread thread = new Thread(task);
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
+    private void upload(Gateway gateway, String client, long untilMillis) {
         byte[] part = new byte[BODY_BYTES / PARTS];
-        for (int i = 0; !stopped; i++) {
+        for (int i = 0; !stopped && System.currentTimeMillis() < untilMillis; i++) {
             String id = client + "-" + i;
             try (Socket socket = new Socket()) {
                 socket.connect(new InetSocketAddress(gateway.ip, gateway.front), 1_000);
